--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and experiments."""
--- /dev/null
+++ b/packages/briarford-cli/src/briarford_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and agent daemons."""
--- /dev/null
+++ b/packages/briarford/src/briarford/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch: the cores of the entry and of the agent."""
--- /dev/null
+++ b/packages/briarford/src/briarford/presets/__init__.py
@@ -0,0 +1,1 @@
+"""Slice of the library: presets."""
