Divide an agent's slots over entries as credits

An agent needs one place that says which entry may use which slot. SlotGranter holds granted + running + free == slots at each step, gives freed slots in proportion to reported demand, and recalls idle credits only after demand has waited a few milliseconds, because most waits end sooner by a task that ends.

--- /dev/null
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -0,0 +1,255 @@
+"""The credit core of an agent: which entry may use which slot."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Grant", "SlotGranter"]
+
+RECALL_AFTER_S = 0.005
+
+
+@dataclass(slots=True, frozen=True)
+class Grant:
+    """What an agent tells one entry about credits.
+
+    :param entry: the entry's name.
+    :param credits: slots granted to it.
+    :param recall: unspent credits that are wanted back.
+    """
+
+    entry: str
+    credits: int = 0
+    recall: int = 0
+
+
+@dataclass(slots=True)
+class EntryCredits:
+    """The credits of one entry at one agent.
+
+    :param attached: whether a session with the entry is open.
+    :param granted: credits granted and not spent, the ones in flight too.
+    :param recalled: part of ``granted`` that was asked back.
+    :param running: tasks of the entry that run.
+    :param demand: tasks that wait at the entry, as it last reported.
+    :param waiting_since: Unix seconds since which its demand is not met.
+    :param lag: slots that it should have had in proportion to its demand.
+    """
+
+    attached: bool = True
+    granted: int = 0
+    recalled: int = 0
+    running: int = 0
+    demand: int = 0
+    waiting_since: float | None = None
+    lag: float = 0.0
+
+    @property
+    def unmet(self) -> int:
+        """Tasks that wait and have no credit under way."""
+        return max(0, self.demand - self.granted + self.recalled)
+
+    @property
+    def excess(self) -> int:
+        """Credits that no waiting task needs and nobody asked back."""
+        return max(0, self.granted - self.recalled - self.demand)
+
+
+class SlotGranter:
+    """Divides a worker's slots over entries as credits.
+
+    At any time ``granted + running + free == slots``, summed over entries;
+    ``free`` is below zero only after ``set_slots`` took away slots in use.
+
+    :param recall_after_s: seconds that demand waits before idle credits of
+        other entries are recalled for it.
+    """
+
+    __slots__ = ("_closed", "_entries", "_recall_after_s", "_slots")
+
+    def __init__(self, recall_after_s: float = RECALL_AFTER_S) -> None:
+        self._recall_after_s = recall_after_s
+        self._slots = 0
+        self._closed = False
+        self._entries: dict[str, EntryCredits] = {}
+
+    @property
+    def slots(self) -> int:
+        """Slots that the worker offers."""
+        return self._slots
+
+    @property
+    def granted(self) -> int:
+        """Credits that entries hold or that are on their way."""
+        return sum(e.granted for e in self._entries.values())
+
+    @property
+    def running(self) -> int:
+        """Tasks that run, those of detached entries too."""
+        return sum(e.running for e in self._entries.values())
+
+    @property
+    def free(self) -> int:
+        """Slots that are neither granted nor running."""
+        return self._slots - self.granted - self.running
+
+    def attach(self, entry: str) -> None:
+        """Begin a session with an entry; it starts without credits."""
+        state = self._entries.setdefault(entry, EntryCredits())
+        _take_back(state)
+        state.attached = True
+
+    def detach(self, entry: str) -> None:
+        """End a session: credits come back, running tasks stay counted."""
+        state = self._entries.get(entry)
+        if state is None:
+            return
+        _take_back(state)
+        state.attached = False
+        self._forget_if_gone(entry)
+
+    def set_slots(self, slots: int) -> None:
+        """Set how many slots the worker offers."""
+        self._slots = slots
+
+    def set_demand(self, entry: str, demand: int) -> None:
+        """Take in how many tasks wait at an entry."""
+        state = self._entries.get(entry)
+        if state is not None and state.attached:
+            state.demand = demand
+
+    def started(self, entry: str) -> bool:
+        """Spend a credit of an entry.
+
+        :return: False if it holds none: the start must be rejected.
+        """
+        state = self._entries.get(entry)
+        if state is None or state.granted == 0:
+            return False
+        _spend(state, 1)
+        state.running += 1
+        state.demand = max(0, state.demand - 1)
+        return True
+
+    def ended(self, entry: str) -> None:
+        """Free the slot of a task that ended."""
+        state = self._entries.get(entry)
+        if state is None or state.running == 0:
+            return
+        state.running -= 1
+        self._forget_if_gone(entry)
+
+    def returned(self, entry: str, count: int) -> None:
+        """Take back credits that an entry did not spend."""
+        state = self._entries.get(entry)
+        if state is not None:
+            _spend(state, min(count, state.granted))
+
+    def close(self) -> None:
+        """Grant nothing from now on, and recall what is not spent."""
+        self._closed = True
+
+    def turn(self, now: float) -> list[Grant]:
+        """Grant free slots and recall credits that are wanted elsewhere."""
+        credits = self._grant_free()
+        recalls = self._recall(now)
+        names = sorted(credits.keys() | recalls.keys())
+        return [Grant(n, credits.get(n, 0), recalls.get(n, 0)) for n in names]
+
+    def next_turn_at(self) -> float | None:
+        """Unix seconds at which waiting demand leads to a recall."""
+        waits = [
+            e.waiting_since + self._recall_after_s
+            for e in self._entries.values()
+            if e.waiting_since is not None
+        ]
+        return min(waits, default=None)
+
+    def _grant_free(self) -> dict[str, int]:
+        credits: dict[str, int] = {}
+        if self._closed:
+            return credits
+        for _ in range(self.free):
+            name = self._choose_entry()
+            if name is None:
+                break
+            self._entries[name].granted += 1
+            credits[name] = credits.get(name, 0) + 1
+        return credits
+
+    def _choose_entry(self) -> str | None:
+        open_ = {
+            n: e
+            for n, e in self._entries.items()
+            if e.attached and not e.recalled
+        }
+        hungry = {n: e for n, e in open_.items() if e.unmet}
+        if hungry:
+            return _choose_by_lag(hungry)
+        return min(open_, key=lambda n: (open_[n].granted, n), default=None)
+
+    def _recall(self, now: float) -> dict[str, int]:
+        if self._closed or self.free < 0:
+            wanted = self.granted if self._closed else -self.free
+            return self._recall_up_to(wanted - self._recalled, by_excess=False)
+        return self._recall_up_to(
+            self._overdue(now) - self._recalled, by_excess=True
+        )
+
+    @property
+    def _recalled(self) -> int:
+        return sum(e.recalled for e in self._entries.values())
+
+    def _overdue(self, now: float) -> int:
+        overdue = 0
+        for state in self._entries.values():
+            if not state.unmet:
+                state.waiting_since = None
+                continue
+            if state.waiting_since is None:
+                state.waiting_since = now
+            if now - state.waiting_since >= self._recall_after_s:
+                overdue += state.unmet
+        return overdue
+
+    def _recall_up_to(self, wanted: int, by_excess: bool) -> dict[str, int]:
+        recalls: dict[str, int] = {}
+        for name, state in sorted(self._entries.items()):
+            idle = state.granted - state.recalled
+            if by_excess:
+                idle = state.excess
+            count = min(wanted, idle)
+            if count <= 0:
+                continue
+            state.recalled += count
+            recalls[name] = count
+            wanted -= count
+        return recalls
+
+    def _forget_if_gone(self, entry: str) -> None:
+        state = self._entries[entry]
+        if not state.attached and state.running == 0:
+            del self._entries[entry]
+
+
+def _take_back(state: EntryCredits) -> None:
+    state.granted = 0
+    state.recalled = 0
+    state.demand = 0
+    state.waiting_since = None
+    state.lag = 0.0
+
+
+def _spend(state: EntryCredits, count: int) -> None:
+    state.granted -= count
+    state.recalled = min(state.recalled, state.granted)
+
+
+def _choose_by_lag(hungry: dict[str, EntryCredits]) -> str:
+    """Choose in proportion to demand, and none is passed over for good."""
+    total = sum(e.unmet for e in hungry.values())
+    for state in hungry.values():
+        state.lag += state.unmet / total
+    chosen = max(hungry, key=lambda n: (hungry[n].lag, n))
+    hungry[chosen].lag -= 1.0
+    return chosen
