--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/store_client.py
@@ -0,0 +1,214 @@
+"""A client of the platform's key-value service over HTTP."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Mapping
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from briarford.exceptions import StoreError
+from briarford.store import CallGuard, Deferred, GuardLimits, KeyValue, Listing
+
+__all__ = ["HttpStore"]
+
+WATCH_GRACE_S = 0.5
+MAX_CONNECTIONS = 16
+REFUSED = frozenset({400, 429})
+
+T = TypeVar("T")
+
+
+class _Granted(msgspec.Struct):
+    lease: str
+
+
+class HttpStore:
+    """A :class:`briarford.store.Store` over HTTP.
+
+    Writes go as POST, which the HTTP library never repeats by itself: a
+    repeated compare-and-swap would report its own first try as a conflict.
+
+    :param address: host and port.
+    :param rng: spreads the retries after an outage.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        rng: random.Random | None = None,
+        limits: GuardLimits | None = None,
+    ) -> None:
+        self._address = address
+        self.guard = CallGuard(rng or random.Random(), limits)
+        self._http: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._http is not None:
+            await self._http.close()
+            self._http = None
+
+    async def get(self, key: str, deadline: float) -> KeyValue | None:
+        """Read one key; None if there is none."""
+        status, body = await self._call(
+            "get", "GET", "/v1/value", {"key": key}, deadline
+        )
+        if status == 404:
+            return None
+        return self._decode("get", body, KeyValue)
+
+    async def list(self, prefix: str, deadline: float) -> Listing:
+        """Read all keys that start with ``prefix``."""
+        _, body = await self._call(
+            "list", "GET", "/v1/list", {"prefix": prefix}, deadline
+        )
+        return self._decode("list", body, Listing)
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes | None,
+        expected: int,
+        deadline: float,
+        lease: str = "",
+    ) -> KeyValue | None:
+        """Write a key if its version is as expected; None if written."""
+        params = {"key": key, "expected": str(expected)}
+        if lease:
+            params["lease"] = lease
+        if value is None:
+            params["delete"] = "1"
+        status, body = await self._call(
+            "swap", "POST", "/v1/swap", params, deadline, value or b""
+        )
+        if status == 200:
+            return None
+        return self._decode("swap", body, KeyValue)
+
+    async def grant_lease(self, ttl_s: float, deadline: float) -> str:
+        """Make a lease that lapses ``ttl_s`` seconds after a renewal."""
+        params = {"ttl_s": str(ttl_s)}
+        _, body = await self._call(
+            "grant", "POST", "/v1/lease/grant", params, deadline
+        )
+        return self._decode("grant", body, _Granted).lease
+
+    async def renew_lease(self, lease: str, deadline: float) -> bool:
+        """Renew a lease; False if it has lapsed."""
+        status, _ = await self._call(
+            "renew", "POST", "/v1/lease/renew", {"lease": lease}, deadline
+        )
+        return status != 404
+
+    async def revoke_lease(self, lease: str, deadline: float) -> None:
+        """End a lease and delete its keys."""
+        await self._call(
+            "revoke", "POST", "/v1/lease/revoke", {"lease": lease}, deadline
+        )
+
+    async def watch(
+        self, prefix: str, after: int, deadline: float
+    ) -> Listing | None:
+        """Wait for a change under a prefix after a revision."""
+        wait_s = max(0.0, deadline - time.time())
+        params = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        status, body = await self._call(
+            "watch", "GET", "/v1/watch", params, deadline + WATCH_GRACE_S
+        )
+        if status == 204:
+            return None
+        return self._decode("watch", body, Listing)
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        params: Mapping[str, str],
+        deadline: float,
+        body: bytes = b"",
+    ) -> tuple[int, bytes]:
+        now = time.time()
+        if deadline <= now:
+            raise self._error(kind, "the deadline has passed")
+        held = self.guard.admit(kind, now)
+        if held is not None:
+            raise self._error(kind, _explain(held, now))
+        try:
+            status, answer, retry_at = await self._send(
+                method, path, params, deadline, body
+            )
+        except aiohttp.ClientConnectorError as exc:
+            self.guard.failed(kind, time.time())
+            raise self._error(kind, str(exc)) from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            self.guard.failed(kind, time.time())
+            detail = str(exc) or "no answer by the deadline"
+            raise self._error(kind, detail, maybe_applied=True) from exc
+        if status < 500 and status not in REFUSED:
+            self.guard.succeeded(kind)
+            return status, answer
+        if status != 400:
+            self.guard.failed(kind, time.time(), retry_at)
+        detail = f"answered {status}: {answer[:200].decode(errors='replace')}"
+        raise self._error(kind, detail, maybe_applied=status not in REFUSED)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str],
+        deadline: float,
+        body: bytes,
+    ) -> tuple[int, bytes, float]:
+        timeout = aiohttp.ClientTimeout(total=deadline - time.time())
+        async with self._session().request(
+            method,
+            f"http://{self._address}{path}",
+            params=params,
+            data=body or None,
+            timeout=timeout,
+        ) as response:
+            answer = await response.read()
+            wait_s = response.headers.get("retry-after", "0")
+            retry_at = time.time() + float(wait_s) if wait_s != "0" else 0.0
+            return response.status, answer, retry_at
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self._http is None:
+            connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+            self._http = aiohttp.ClientSession(connector=connector)
+        return self._http
+
+    def _decode(self, kind: str, body: bytes, form: type[T]) -> T:
+        try:
+            return msgspec.json.decode(body, type=form)
+        except msgspec.MsgspecError as exc:
+            detail = f"answered what cannot be read: {exc}"
+            raise self._error(kind, detail, maybe_applied=True) from exc
+
+    def _error(
+        self, kind: str, detail: str, maybe_applied: bool = False
+    ) -> StoreError:
+        return StoreError(
+            f"the key-value service did not serve '{kind}': {detail}",
+            step=f"store-{kind}",
+            peer=self._address,
+            maybe_applied=maybe_applied and kind in WRITES,
+        )
+
+
+WRITES = frozenset({"swap", "grant", "renew", "revoke"})
+
+
+def _explain(held: Deferred, now: float) -> str:
+    wait_s = held.retry_at - now
+    return f"not called ({held.reason}), next try in {wait_s:.2f} s"
