Give each application and each process its own registries

Cause: blacksheep keeps one default router and aioprometheus one default registry per process, so a second entry in the same process failed to start (RouteDuplicate, "already registered"). Change: a Router and a Registry per daemon. Ruled out: route tables built twice by our own code (one call per app).

--- a/packages/briarford-daemon/src/briarford_daemon/http_routes.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_routes.py
@@ -5,7 +5,7 @@
 import functools
 from collections.abc import Awaitable, Callable, Sequence
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 
 from briarford_daemon.exceptions import RequestError
 from briarford_daemon.problems import json_response, problem_of_error
@@ -32,7 +32,7 @@
     :param peer: name of the process.
     :param routes: method, path and handler of each route.
     """
-    app = Application()
+    app = Application(router=Router())
     for method, path, handler in routes:
         app.router.add(method, path, _guard(handler, peer))
     return app
--- a/packages/briarford-daemon/src/briarford_daemon/metrics.py
+++ b/packages/briarford-daemon/src/briarford_daemon/metrics.py
@@ -39,9 +39,11 @@
             ),
         )
         self._state = Gauge(
-            "briarford_state", "What the process holds now.", self._labels
+            "briarford_state",
+            "What the process holds now.",
+            self._labels,
+            self._registry,
         )
-        self._registry.register(self._state)
 
     def render(self, state: Mapping[str, float]) -> bytes:
         """Return all metrics as text.
@@ -59,6 +61,7 @@
     def _counter(
         self, name: str, doc: str, counts: Counts[str]
     ) -> tuple[Counter, Counts[str]]:
-        collector = Counter(f"briarford_{name}_total", doc, self._labels)
-        self._registry.register(collector)
+        collector = Counter(
+            f"briarford_{name}_total", doc, self._labels, self._registry
+        )
         return collector, counts
