--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/backend_core.py
@@ -0,0 +1,252 @@
+"""Decisions of the backend server stand-in: run time, failure, silence."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+__all__ = [
+    "Abort",
+    "Answer",
+    "BackendCore",
+    "BackendProfile",
+    "Call",
+    "Mute",
+    "Reply",
+    "Start",
+    "duplicate_starts",
+]
+
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_FAILED = 500
+STATUS_BUSY = 503
+FAST_FAILURE_S = 0.001
+
+
+@dataclass(slots=True, frozen=True)
+class BackendProfile:
+    """How a backend server behaves, faults included.
+
+    :param name: the worker it runs on.
+    :param service: the service that it provides.
+    :param speed: true work in seconds done per second of run time.
+    :param slots: tasks that it runs at the same time.
+    :param connections: connections that it accepts.
+    :param processors: cores of its worker.
+    :param memory_mb: memory of its worker in megabytes.
+    :param accelerators: accelerators of its worker.
+    :param jitter: largest relative deviation of a run time, 0 to 1.
+    :param straggler_rate: share of calls that run much longer, 0 to 1.
+    :param straggler_factor: how many times longer those run.
+    :param failure_rate: share of calls that fail once run, 0 to 1.
+    :param fail_all: whether every call fails at once.
+    :param silent: whether calls run but are never answered.
+    :param silent_before: Unix seconds; calls on connections opened before
+        run but are never answered.
+    :param reset: whether calls run and their connection is then reset.
+    """
+
+    name: str = "worker-0"
+    service: str = "demo"
+    speed: float = 1.0
+    slots: int = 8
+    connections: int = 64
+    processors: float = 32.0
+    memory_mb: int = 65536
+    accelerators: int = 0
+    jitter: float = 0.0
+    straggler_rate: float = 0.0
+    straggler_factor: float = 10.0
+    failure_rate: float = 0.0
+    fail_all: bool = False
+    silent: bool = False
+    silent_before: float = 0.0
+    reset: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One call as it arrived.
+
+    :param job_id: the job.
+    :param index: the task's position in the job.
+    :param attempt: number of the attempt, from 0.
+    :param deadline: Unix seconds.
+    :param payload: the JSON document of the task.
+    :param connected_at: Unix seconds when its connection was opened.
+    """
+
+    job_id: str
+    index: int
+    attempt: int
+    deadline: float
+    payload: bytes
+    connected_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Start:
+    """Record of one started task.
+
+    :param worker: where it started.
+    :param job_id: the job.
+    :param index: the task's position in the job.
+    :param attempt: number of the attempt.
+    :param at: Unix seconds.
+    :param ends_at: Unix seconds when its slot is free again.
+    """
+
+    worker: str
+    job_id: str
+    index: int
+    attempt: int
+    at: float
+    ends_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Answer with this status and body at a time (Unix seconds).
+
+    :param ran: whether the task started.
+    """
+
+    at: float
+    status: int
+    body: bytes
+    ran: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Mute:
+    """Never answer; the slot is free again at a time (Unix seconds)."""
+
+    ends_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Abort:
+    """Reset the connection at a time (Unix seconds)."""
+
+    at: float
+
+
+Reply = Answer | Mute | Abort
+
+
+@dataclass(slots=True, frozen=True)
+class _Work:
+    """What the stand-in reads from a payload."""
+
+    run_ms: float = 0.0
+    value: Any = None
+    fail: bool = False
+
+
+class BackendCore:
+    """Decides the reply to each call and records each start.
+
+    :param profile: how the backend server behaves.
+    :param rng: source of run times and failures.
+    """
+
+    __slots__ = ("_ends", "_rng", "busy_replies", "profile", "starts")
+
+    def __init__(self, profile: BackendProfile, rng: random.Random) -> None:
+        self.profile = profile
+        self.starts: list[Start] = []
+        self.busy_replies = 0
+        self._rng = rng
+        self._ends: list[float] = []
+
+    def set_faults(self, changes: dict[str, Any]) -> None:
+        """Change fields of the profile.
+
+        :raises msgspec.ValidationError: if a value has the wrong type.
+        :raises TypeError: if there is no such field.
+        """
+        changed = replace(self.profile, **changes)
+        fields = msgspec.to_builtins(changed)
+        self.profile = msgspec.convert(fields, BackendProfile)
+
+    def begin(self, call: Call, now: float) -> Reply:
+        """Decide the reply to a call that arrives now."""
+        try:
+            work = msgspec.json.decode(call.payload, type=_Work)
+        except msgspec.MsgspecError as exc:
+            return self._problem(now, STATUS_BAD_REQUEST, str(exc), ran=False)
+        if self.running(now) >= self.profile.slots:
+            self.busy_replies += 1
+            return self._problem(now, STATUS_BUSY, "no free slot", ran=False)
+        ends_at = now + self._run_s(work)
+        self._ends.append(ends_at)
+        self.starts.append(
+            Start(
+                self.profile.name,
+                call.job_id,
+                call.index,
+                call.attempt,
+                now,
+                ends_at,
+            )
+        )
+        return self._reply(call, work, ends_at)
+
+    def running(self, now: float) -> int:
+        """Count the tasks that hold a slot."""
+        self._ends = [end for end in self._ends if end > now]
+        return len(self._ends)
+
+    def _run_s(self, work: _Work) -> float:
+        if self.profile.fail_all:
+            return FAST_FAILURE_S
+        run_s = work.run_ms / 1000 / self.profile.speed
+        run_s *= 1 + self.profile.jitter * self._rng.uniform(-1, 1)
+        if self._rng.random() < self.profile.straggler_rate:
+            run_s *= self.profile.straggler_factor
+        return run_s
+
+    def _reply(self, call: Call, work: _Work, ends_at: float) -> Reply:
+        profile = self.profile
+        if profile.silent or call.connected_at < profile.silent_before:
+            return Mute(ends_at)
+        if profile.reset:
+            return Abort(ends_at)
+        if self._fails(work):
+            return self._problem(ends_at, STATUS_FAILED, "task failed")
+        body = {"worker": profile.name, "echo": work.value}
+        return Answer(ends_at, STATUS_OK, msgspec.json.encode(body))
+
+    def _fails(self, work: _Work) -> bool:
+        if work.fail or self.profile.fail_all:
+            return True
+        return self._rng.random() < self.profile.failure_rate
+
+    def _problem(
+        self, at: float, status: int, detail: str, ran: bool = True
+    ) -> Answer:
+        body = {"worker": self.profile.name, "detail": detail}
+        return Answer(at, status, msgspec.json.encode(body), ran)
+
+
+def duplicate_starts(
+    starts: Iterable[Start], idempotent_jobs: Collection[str] = frozenset()
+) -> dict[tuple[str, int], int]:
+    """Find tasks that started more than once.
+
+    :param starts: the records of all backend servers.
+    :param idempotent_jobs: idempotent single requests, which may be retried.
+    :return: number of starts by job and index, where it is above 1.
+    """
+    counts = Counter(
+        (start.job_id, start.index)
+        for start in starts
+        if start.job_id not in idempotent_jobs
+    )
+    return {task: count for task, count in counts.items() if count > 1}
