--- /dev/null
+++ b/packages/briarford/src/briarford/membership/messages.py
@@ -0,0 +1,26 @@
+"""What an entry keeps about itself in the key-value service."""
+
+from __future__ import annotations
+
+from briarford.homes.view import Member
+from briarford.messages import Message
+
+__all__ = ["ENTRIES_PREFIX", "EntryRecord", "entry_key"]
+
+ENTRIES_PREFIX = "entries/"
+
+
+class EntryRecord(Message, frozen=True):
+    """The value of the key ``entries/<name>``, held under a lease.
+
+    :param member: the entry.
+    :param leaving: whether it is about to stop.
+    """
+
+    member: Member
+    leaving: bool = False
+
+
+def entry_key(name: str) -> str:
+    """Return the key under which an entry registers."""
+    return ENTRIES_PREFIX + name
