Add the command line, the demo, the tour and tests on real processes

Cause: the whole path had no way in but code, and the first demo run found that an entry ran jobs whose minted id names another home. Change: client, briarford submit/status/demo/stand-ins, OpenAPI, README, glossary, an entry answers for a foreign id "ask its home" (did_run unknown, when to ask again) instead of running it; a client repeats a single request only on a refusal that did not run or a connection that was never opened. Ruled out: resubmits at the same entry (joined by id) and re-sent attempts (one start per attempt at the agents). The new test at both entries fails without the change and passes with it.

--- a/packages/briarford-bench/src/briarford_bench/backend_server.py
+++ b/packages/briarford-bench/src/briarford_bench/backend_server.py
@@ -22,7 +22,7 @@
     Mute,
     Start,
 )
-from briarford_bench.http_server import CONNECTED_AT, TRANSPORT, HttpServer
+from briarford_daemon.http_server import CONNECTED_AT, TRANSPORT, HttpServer
 
 __all__ = ["BackendServer", "announcement"]
 
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/demo.py
@@ -0,0 +1,257 @@
+"""The demonstration: a whole system in one process, with its account."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from briarford_bench.backend_core import BackendProfile, duplicate_starts
+from briarford_bench.stack import Stack
+from briarford_daemon.client import Answer, Client
+from briarford_daemon.exceptions import EntryUnreachableError
+
+__all__ = ["DemoReport", "as_record", "run_demo"]
+
+SERVICE = "lease-desk"
+SPEEDS = (1.0, 1.0, 0.8, 0.6, 1.25, 0.5)
+SLOTS = 8
+ZONES = ("zone-a", "zone-b")
+JOBS = 40
+SINGLES = 40
+MAX_TASKS = 200
+MIN_RUN_MS = 50
+MAX_RUN_MS = 1000
+SPREAD_S = 12.0
+JOB_WITHIN_S = 30.0
+READY_POLL_S = 0.05
+DRAIN_AT_S = 5.0
+STOP_ENTRY_AT_S = 8.0
+RESUBMIT_SHARE = 0.3
+RESUBMIT_AFTER_S = 0.2
+ROUND_TRIP_S = 0.002
+
+
+@dataclass(slots=True)
+class DemoReport:
+    """What happened, counted from the starts at the backend servers."""
+
+    jobs_submitted: int = 0
+    jobs_completed: int = 0
+    jobs_failed: int = 0
+    jobs_partial: int = 0
+    tasks: int = 0
+    duplicate_starts: int = 0
+    refused_did_not_run: int = 0
+    refused_but_ran: int = 0
+    response_ratio_p50: float = 0.0
+    response_ratio_p99: float = 0.0
+    wasted_messages_per_task: float = 0.0
+
+    @property
+    def kept_promises(self) -> bool:
+        """Whether no answer was partial, doubled or untrue."""
+        return not (
+            self.jobs_partial or self.duplicate_starts or self.refused_but_ran
+        )
+
+
+@dataclass(slots=True)
+class _Run:
+    """State of one demonstration."""
+
+    stack: Stack
+    client: Client
+    rng: random.Random
+    say: Callable[[str], None]
+    report: DemoReport = field(default_factory=DemoReport)
+    ratios: list[float] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+
+
+async def run_demo(seed: int, say: Callable[[str], None]) -> DemoReport:
+    """Run the demonstration.
+
+    :param seed: seed of jobs, arrivals and stand-ins.
+    :param say: takes a line of progress.
+    """
+    profiles = [
+        BackendProfile(name=f"worker-{i}", service=SERVICE, speed=s)
+        for i, s in enumerate(SPEEDS, start=1)
+    ]
+    stack = Stack(2, profiles, ZONES, seed)
+    await stack.start()
+    try:
+        async with Client(stack.http_addresses) as client:
+            run = _Run(stack, client, random.Random(seed), say)
+            await _wait_ready(run)
+            await _run_load(run)
+        await _add_messages(run)
+    finally:
+        await stack.stop()
+    _add_starts(run)
+    return run.report
+
+
+async def _wait_ready(run: _Run) -> None:
+    run.say("waiting for 6 workers at 2 entries")
+    for entry in range(len(run.stack.entries)):
+        while True:
+            answer = await run.client.get("/v1/status", entry)
+            if answer and answer.body["state"]["workers"] == len(SPEEDS):
+                break
+            await asyncio.sleep(READY_POLL_S)
+
+
+async def _run_load(run: _Run) -> None:
+    starts_at = time.time()
+    run.say(f"submitting {JOBS} jobs and {SINGLES} single requests")
+    async with asyncio.TaskGroup() as group:
+        for _ in range(JOBS):
+            at = starts_at + run.rng.uniform(0, SPREAD_S)
+            group.create_task(_run_job(run, at, _draw_tasks(run.rng)))
+        for _ in range(SINGLES):
+            at = starts_at + run.rng.uniform(0, SPREAD_S)
+            run_ms = run.rng.uniform(MIN_RUN_MS, MAX_RUN_MS)
+            group.create_task(_run_single(run, at, run_ms))
+        group.create_task(_drain_worker(run, starts_at + DRAIN_AT_S))
+        group.create_task(_stop_entry(run, starts_at + STOP_ENTRY_AT_S))
+
+
+def _draw_tasks(rng: random.Random) -> list[dict[str, Any]]:
+    count = max(1, min(MAX_TASKS, int(rng.lognormvariate(2.0, 1.3))))
+    return [
+        {
+            "payload": {
+                "run_ms": rng.uniform(MIN_RUN_MS, MAX_RUN_MS),
+                "value": index,
+            }
+        }
+        for index in range(count)
+    ]
+
+
+async def _run_job(run: _Run, at: float, tasks: list[dict[str, Any]]) -> None:
+    await _sleep_until(at)
+    entry = run.rng.randrange(2)
+    job_id = (await run.client.mint(1, entry))[0]
+    run.report.jobs_submitted += 1
+    run.report.tasks += len(tasks)
+    deadline = time.time() + JOB_WITHIN_S
+    submits = [run.client.submit(job_id, SERVICE, tasks, deadline, entry)]
+    if run.rng.random() < RESUBMIT_SHARE:
+        submits.append(_resubmit(run, job_id, tasks, deadline, entry + 1))
+    answers = await asyncio.gather(*submits, return_exceptions=True)
+    for answer in answers[1:]:
+        if isinstance(answer, BaseException):
+            run.say(f"a resubmit got no answer: {answer}")
+    _count_answer(run, job_id, answers[0], tasks, time.time() - at)
+
+
+async def _resubmit(
+    run: _Run,
+    job_id: str,
+    tasks: list[dict[str, Any]],
+    deadline: float,
+    entry: int,
+) -> Answer:
+    await asyncio.sleep(RESUBMIT_AFTER_S)
+    return await run.client.submit(job_id, SERVICE, tasks, deadline, entry)
+
+
+async def _run_single(run: _Run, at: float, run_ms: float) -> None:
+    await _sleep_until(at)
+    run.report.jobs_submitted += 1
+    run.report.tasks += 1
+    payload = {"run_ms": run_ms, "value": 0}
+    entry = run.rng.randrange(2)
+    answer: Answer | BaseException
+    try:
+        answer = await run.client.request(
+            SERVICE, payload, time.time() + JOB_WITHIN_S, entry=entry
+        )
+    except EntryUnreachableError as exc:
+        answer = exc
+    job_id = "" if isinstance(answer, BaseException) else answer.body["id"]
+    tasks = [{"payload": payload}]
+    _count_answer(run, job_id, answer, tasks, time.time() - at)
+
+
+async def _drain_worker(run: _Run, at: float) -> None:
+    await _sleep_until(at)
+    run.say("draining worker-6")
+    await run.stack.workers[-1].backend.withdraw()
+
+
+async def _stop_entry(run: _Run, at: float) -> None:
+    await _sleep_until(at)
+    run.say("stopping entry-2 gracefully")
+    await run.stack.entries[1].stop()
+    run.say("entry-2 has stopped")
+
+
+def _count_answer(
+    run: _Run,
+    job_id: str,
+    answer: Answer | BaseException,
+    tasks: list[dict[str, Any]],
+    took_s: float,
+) -> None:
+    report = run.report
+    if isinstance(answer, BaseException):
+        run.say(f"no answer: {answer}")
+        report.jobs_failed += 1
+    elif answer.completed:
+        values = [r["echo"] for r in answer.body["results"]]
+        wanted = [t["payload"]["value"] for t in tasks]
+        report.jobs_completed += 1
+        report.jobs_partial += int(values != wanted)
+        run.ratios.append(took_s / _ideal_s(tasks))
+    elif answer.did_run == "no":
+        run.say(f"refused: {answer.body['detail']}")
+        report.refused_did_not_run += 1
+        run.refused.add(job_id)
+    else:
+        run.say(f"failed: {answer.body['detail']}")
+        report.jobs_failed += 1
+
+
+def _ideal_s(tasks: list[dict[str, Any]]) -> float:
+    """Return a lower bound of a job's time, alone on the whole system."""
+    work: list[float] = [t["payload"]["run_ms"] / 1000 for t in tasks]
+    rate = sum(s * SLOTS for s in SPEEDS)
+    return max(max(work) / max(SPEEDS), sum(work) / rate) + ROUND_TRIP_S
+
+
+async def _add_messages(run: _Run) -> None:
+    """Count the batches that neither started a task nor ended one."""
+    wasted = 0
+    for entry in run.stack.entries:
+        counts = entry.daemon.metrics.messages
+        wasted += counts["idle_out"] + counts["idle_in"]
+    run.report.wasted_messages_per_task = wasted / max(1, run.report.tasks)
+
+
+def _add_starts(run: _Run) -> None:
+    starts = [s for w in run.stack.workers for s in w.backend.starts]
+    report = run.report
+    report.duplicate_starts = len(duplicate_starts(starts))
+    report.refused_but_ran = len(
+        run.refused & {start.job_id for start in starts}
+    )
+    ratios = sorted(run.ratios)
+    if ratios:
+        report.response_ratio_p50 = ratios[len(ratios) // 2]
+        report.response_ratio_p99 = ratios[int(len(ratios) * 0.99)]
+
+
+async def _sleep_until(at: float) -> None:
+    await asyncio.sleep(max(0.0, at - time.time()))
+
+
+def as_record(report: DemoReport) -> dict[str, Any]:
+    """Return the report as plain JSON types."""
+    return asdict(report)
--- /dev/null
+++ b/packages/briarford-cli/src/briarford_cli/main.py
@@ -0,0 +1,42 @@
+"""The ``briarford`` command."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import cyclopts
+
+from briarford.exceptions import BriarfordError
+from briarford_cli.demo_command import demo
+from briarford_cli.job_commands import status, submit
+from briarford_cli.stand_in_commands import backend_stand_in, kv_stand_in
+
+__all__ = ["app", "run"]
+
+INTERRUPTED = 130
+
+app = cyclopts.App(
+    name="briarford",
+    help="Drive briarford: jobs, presets, status, stand-ins, experiments.",
+)
+app.command(demo)
+app.command(submit)
+app.command(status)
+app.command(kv_stand_in)
+app.command(backend_stand_in)
+
+
+def run() -> None:
+    """Run the command and exit with its status."""
+    try:
+        app()
+    except BriarfordError as exc:
+        print(f"briarford: {exc.message}", file=sys.stderr)
+        sys.exit(exc.exit_status)
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        sys.exit(INTERRUPTED)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/briarford-cli/src/briarford_cli/stand_in_commands.py
@@ -0,0 +1,66 @@
+"""Commands that run the stand-ins of the platform and of back ends."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Protocol
+
+import uvloop
+
+from briarford_bench.backend_core import BackendProfile
+from briarford_bench.backend_server import BackendServer
+from briarford_bench.kv_server import KvServer
+
+__all__ = ["backend_stand_in", "kv_stand_in"]
+
+
+class _Server(Protocol):
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
+def kv_stand_in(*, port: int = 7200) -> None:
+    """Run the key-value stand-in on loopback until a signal.
+
+    :param port: port to listen on.
+    """
+    uvloop.run(_serve(KvServer(port)))
+
+
+def backend_stand_in(
+    *,
+    agent: str,
+    port: int = 0,
+    service: str = "lease-desk",
+    slots: int = 8,
+    connections: int = 64,
+    speed: float = 1.0,
+    seed: int = 0,
+) -> None:
+    """Run a backend server stand-in on loopback until a signal.
+
+    :param agent: HTTP address of its agent, to which it announces itself.
+    :param port: port to listen on, 0 for any.
+    :param service: the service that it provides.
+    :param slots: tasks that it runs at the same time.
+    :param connections: most connections that it takes.
+    :param speed: a task of ``run_ms`` takes ``run_ms / speed``.
+    :param seed: seed of its run times.
+    """
+    profile = BackendProfile(
+        service=service, slots=slots, connections=connections, speed=speed
+    )
+    server = BackendServer(profile, seed, agent, port=port)
+    uvloop.run(_serve(server))
+
+
+async def _serve(server: _Server) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopped.set)
+    await server.start()
+    await stopped.wait()
+    await server.stop()
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/client.py
@@ -0,0 +1,217 @@
+"""A client of briarford's entries."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from briarford_daemon.exceptions import EntryUnreachableError
+
+__all__ = ["Answer", "Client"]
+
+RETRY_PAUSE_S = 0.1
+ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """What an entry answered.
+
+    :param status: HTTP status.
+    :param body: the JSON document.
+    """
+
+    status: int
+    body: dict[str, Any]
+
+    @property
+    def completed(self) -> bool:
+        """Whether this is the whole answer of a job."""
+        return self.status == 200
+
+    @property
+    def did_run(self) -> str:
+        """``yes``, ``no`` or ``unknown``."""
+        return "yes" if self.completed else self.body.get("did_run", "unknown")
+
+
+class Client:
+    """Submits jobs, each at most once, through any of several entries.
+
+    A job gets its id from one entry; if its answer is lost, the same
+    submission goes to the next entry and joins the job that runs.
+
+    :param entries: HTTP addresses of entries.
+    :param team: the team on whose quota the jobs run.
+    """
+
+    def __init__(self, entries: Sequence[str], team: str = "default") -> None:
+        self._entries = list(entries)
+        self._team = team
+        self._http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+
+    async def __aenter__(self) -> Client:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def mint(self, count: int = 1, entry: int = 0) -> list[str]:
+        """Get job ids from the first entry that answers.
+
+        :param entry: index of the entry to ask first.
+        :raises EntryUnreachableError: if none answers.
+        """
+        for offset in range(len(self._entries)):
+            url = self._url(entry + offset, f"/v1/jobs?count={count}")
+            try:
+                async with self._http.post(url) as response:
+                    if response.status == 201:
+                        return list((await response.json())["ids"])
+            except ERRORS:
+                continue
+        raise EntryUnreachableError(
+            "no entry answered; check the addresses", may_have_run=False
+        )
+
+    async def run_job(
+        self,
+        service: str,
+        tasks: Sequence[dict[str, Any]],
+        deadline: float,
+        entry: int = 0,
+    ) -> Answer:
+        """Mint an id and submit a job; wait for its whole answer."""
+        job_id = (await self.mint(1, entry))[0]
+        return await self.submit(job_id, service, tasks, deadline, entry)
+
+    async def submit(
+        self,
+        job_id: str,
+        service: str,
+        tasks: Sequence[dict[str, Any]],
+        deadline: float,
+        entry: int = 0,
+    ) -> Answer:
+        """Submit a job under an id, again through others if need be.
+
+        :param tasks: one dictionary per task, with at least ``payload``.
+        :param deadline: Unix seconds.
+        :param entry: index of the entry to try first.
+        :raises EntryUnreachableError: if no answer came by the deadline.
+        """
+        body = {"service": service, "tasks": list(tasks)}
+        path = f"/v1/jobs/{job_id}"
+        while time.time() < deadline:
+            answer = await self._send("PUT", entry, path, body, deadline)
+            if answer is not None and not _ask_again(answer, deadline):
+                return answer
+            await asyncio.sleep(_pause(answer))
+            entry += 1
+        raise EntryUnreachableError(
+            f"no entry answered for job '{job_id}' by the deadline; read it"
+            " with GET /v1/jobs before running it under a new id",
+            may_have_run=True,
+        )
+
+    async def request(
+        self,
+        service: str,
+        payload: Any,
+        deadline: float,
+        idempotent: bool = False,
+        entry: int = 0,
+    ) -> Answer:
+        """Run a single request; it is sent again only if it did not run.
+
+        :raises EntryUnreachableError: if the connection broke, or no entry
+            could be reached by the deadline.
+        """
+        body = {"payload": payload, "idempotent": idempotent}
+        path = f"/v1/services/{service}/requests"
+        while time.time() < deadline:
+            try:
+                answer = await self._try("POST", entry, path, body, deadline)
+            except aiohttp.ClientConnectorError:
+                answer = None
+            except ERRORS as exc:
+                raise EntryUnreachableError(
+                    "the connection broke before the answer; the request may"
+                    " have run",
+                    may_have_run=True,
+                ) from exc
+            if answer is not None and not _refused_for_now(answer, deadline):
+                return answer
+            await asyncio.sleep(_pause(answer))
+            entry += 1
+        raise EntryUnreachableError(
+            "no entry could be reached by the deadline", may_have_run=False
+        )
+
+    async def get(self, path: str, entry: int = 0) -> Answer | None:
+        """Read a JSON document of an entry; None if it gave no answer."""
+        return await self._send("GET", entry, path, None, None)
+
+    async def _send(
+        self,
+        method: str,
+        entry: int,
+        path: str,
+        body: Any,
+        deadline: float | None,
+    ) -> Answer | None:
+        try:
+            return await self._try(method, entry, path, body, deadline)
+        except ERRORS:
+            return None
+
+    async def _try(
+        self,
+        method: str,
+        entry: int,
+        path: str,
+        body: Any,
+        deadline: float | None,
+    ) -> Answer:
+        headers = {"Briarford-Team": self._team}
+        if deadline is not None:
+            headers["Briarford-Deadline"] = f"{deadline:.3f}"
+        url = self._url(entry, path)
+        async with self._http.request(
+            method, url, json=body, headers=headers
+        ) as response:
+            document = await response.json(content_type=None)
+            return Answer(response.status, document)
+
+    def _url(self, entry: int, path: str) -> str:
+        return f"http://{self._entries[entry % len(self._entries)]}{path}"
+
+
+def _ask_again(answer: Answer, deadline: float) -> bool:
+    """Whether the same submission has a chance before its deadline."""
+    retry_at = answer.body.get("retry_at")
+    return retry_at is not None and retry_at < deadline
+
+
+def _refused_for_now(answer: Answer, deadline: float) -> bool:
+    """Whether a request did not run and has a chance before its deadline."""
+    return answer.did_run == "no" and _ask_again(answer, deadline)
+
+
+def _pause(answer: Answer | None) -> float:
+    """Return the seconds to wait before the next try."""
+    if answer is None:
+        return RETRY_PAUSE_S
+    wait = answer.body["retry_at"] - time.time()
+    return float(max(RETRY_PAUSE_S, wait))
--- a/packages/briarford-daemon/src/briarford_daemon/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry.py
@@ -28,7 +28,14 @@
 )
 from briarford.homes.ids import Home, Minter
 from briarford.jobs import JobSpec
-from briarford.outcomes import Completed, Failed, Outcome, Refused
+from briarford.outcomes import (
+    Completed,
+    Failed,
+    FailureReason,
+    Outcome,
+    Refused,
+    Step,
+)
 from briarford.placement import Placer
 from briarford.sessions import AgentBatch, EntryAddress, EntryBatch
 from briarford_daemon.clock import Clock
@@ -44,6 +51,7 @@
 
 LOGGER = logging.getLogger("briarford.entry")
 SECRET_BYTES = 32
+ASK_HOME_AGAIN_S = 0.5
 
 
 class _AgentStream:
@@ -133,6 +141,8 @@
             home = self.check_id(spec.job_id)
             if not isinstance(home, Home):
                 return home
+            if home.incarnation != self.incarnation:
+                return self._not_home(home)
             forget_at = home.remember_until
         outcome = self.core.submit(spec, self.clock.now(), forget_at)
         self._driver.wake()
@@ -140,6 +150,16 @@
             self._count(outcome)
         return outcome
 
+    def _not_home(self, home: Home) -> Failed:
+        """Answer for a job whose home this entry cannot ask."""
+        return Failed(
+            FailureReason.HOME_UNREACHABLE,
+            f"only entry '{home.entry}' knows this job; ask it",
+            Step.FORWARD,
+            self.settings.name,
+            retry_at=self.clock.now() + ASK_HOME_AGAIN_S,
+        )
+
     def cancel(self, job_id: str) -> None:
         """Cancel a job if it runs here."""
         self._driver.post(CancelJob(job_id))
@@ -157,11 +177,22 @@
             "answer_bytes": self.core.jobs.held_bytes,
             "tasks_queued": sum(self.core.placer.counts().values()),
             "tasks_outstanding": self.core.outstanding(),
+            "attempts_ended": self.metrics.attempts.total(),
             "workers": len(workers),
             "credits": sum(w.credits for w in workers),
             "preset_version": self.core.preset_version,
         }
 
+    def status(self) -> dict[str, Any]:
+        """Return what an operator sees of the entry."""
+        return {
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "incarnation": self.incarnation,
+            "status": "stopping" if self.core.stopping else "serving",
+            "state": self.state(),
+        }
+
     async def _wait_idle(self) -> None:
         if not self.core.idle:
             await self._idle.wait()
@@ -194,6 +225,8 @@
         self.metrics.messages["batches_out"] += 1
         self.metrics.messages["starts_out"] += len(batch.starts)
         self.metrics.messages["cancels_out"] += len(batch.cancels)
+        if not batch.starts:
+            self.metrics.messages["idle_out"] += 1
         stream.outgoing.put(batch)
 
     @_perform.register
@@ -245,6 +278,8 @@
             if batch is None:
                 return
             self.metrics.messages["batches_in"] += 1
+            if not batch.results:
+                self.metrics.messages["idle_in"] += 1
             for result in batch.results:
                 self.metrics.attempts[result.status] += 1
             self._driver.post(AgentBatchArrived(conn, batch))
--- a/packages/briarford-daemon/src/briarford_daemon/entry_http.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry_http.py
@@ -15,6 +15,7 @@
     path_param,
     readiness,
 )
+from briarford_daemon.openapi import openapi_document
 from briarford_daemon.problems import answer, json_response
 from briarford_daemon.requests import (
     JobBody,
@@ -82,6 +83,12 @@
         self._entry.cancel(job_id)
         return self._running(job_id)
 
+    async def status(self, req: Request) -> Response:
+        return json_response(200, self._entry.status())
+
+    async def openapi(self, req: Request) -> Response:
+        return json_response(200, openapi_document())
+
     async def readyz(self, req: Request) -> Response:
         return readiness(not self._entry.core.stopping)
 
@@ -121,6 +128,8 @@
             ("GET", "/v1/jobs/{id}", routes.read),
             ("DELETE", "/v1/jobs/{id}", routes.cancel),
             ("POST", "/v1/services/{service}/requests", routes.single),
+            ("GET", "/v1/status", routes.status),
+            ("GET", "/openapi.json", routes.openapi),
             ("GET", "/healthz", healthz),
             ("GET", "/readyz", routes.readyz),
             ("GET", "/metrics", routes.metrics),
--- a/packages/briarford-daemon/src/briarford_daemon/exceptions.py
+++ b/packages/briarford-daemon/src/briarford_daemon/exceptions.py
@@ -1,10 +1,10 @@
-"""The errors of the daemons."""
+"""The errors of the daemons and of the client."""
 
 from __future__ import annotations
 
 from briarford.exceptions import BriarfordError
 
-__all__ = ["RequestError"]
+__all__ = ["EntryUnreachableError", "RequestError"]
 
 
 class RequestError(BriarfordError):
@@ -17,3 +17,16 @@
     def __init__(self, message: str, status: int = 400) -> None:
         super().__init__(message, step="submit")
         self.status = status
+
+
+class EntryUnreachableError(BriarfordError):
+    """No entry answered a client.
+
+    :param may_have_run: whether the job may have been taken.
+    """
+
+    exit_status = 3
+
+    def __init__(self, message: str, may_have_run: bool) -> None:
+        super().__init__(message, step="submit")
+        self.may_have_run = may_have_run
--- a/packages/briarford-daemon/src/briarford_daemon/http_server.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_server.py
@@ -98,7 +98,8 @@
         await self._task
 
     def _bind(self) -> socket.socket:
-        sock = socket.socket()
+        # With protocol 0 asyncio would not set TCP_NODELAY on connections.
+        sock = socket.socket(proto=socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((self._host, self._port))
         sock.listen(BACKLOG)
