Leave forwarded-header handling out of the HTTP servers

Cause: a profile of an entry under single requests shows the HTTP library's layers as the largest share; uvicorn's proxy-header layer does nothing here, as the balancer is not trusted for addresses. Change: proxy_headers off.

--- a/packages/briarford-daemon/src/briarford_daemon/http_server.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_server.py
@@ -77,6 +77,7 @@
             lifespan="on",
             log_config=None,
             access_log=False,
+            proxy_headers=False,
             limit_concurrency=self._connections,
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
             server_header=False,
