Register entries under a lease and bound the entries an agent dials

Cause: nothing says which entries there are, and 5,000 agents cannot each hold a stream to every entry. Change: Registration asks for, renews and replaces a lease, counted from before each call; attachments() chooses by rendezvous hash, own zone first. Checked: the tests fail without the lease check, the replaced check or the attachments outside the zone.

--- a/packages/briarford/src/briarford/membership/__init__.py
+++ b/packages/briarford/src/briarford/membership/__init__.py
@@ -1,1 +1,24 @@
-"""Slice of the library: membership."""
+"""Membership: which entries there are, and which an agent dials."""
+
+from briarford.membership.attachments import attachments
+from briarford.membership.messages import EntryRecord, entry_key
+from briarford.membership.registration import (
+    GrantLease,
+    Registration,
+    RenewLease,
+    RevokeLease,
+    Wait,
+    WriteEntry,
+)
+
+__all__ = [
+    "EntryRecord",
+    "GrantLease",
+    "Registration",
+    "RenewLease",
+    "RevokeLease",
+    "Wait",
+    "WriteEntry",
+    "attachments",
+    "entry_key",
+]
--- a/packages/briarford/src/briarford/membership/messages.py
+++ b/packages/briarford/src/briarford/membership/messages.py
@@ -15,10 +15,13 @@
 
     :param member: the entry.
     :param leaving: whether it is about to stop.
+    :param grant: rises with each lease, so that a value that was written
+        under a lapsed lease is not taken for the current one.
     """
 
     member: Member
     leaving: bool = False
+    grant: int = 0
 
 
 def entry_key(name: str) -> str:
