Pass requests between entries on to the home of their job

Cause: the platform's balancer sends a client to any entry, and a planned stop must not lose finished answers. Change: a gRPC service between entries with Forward, Exchange and HandOver. Silence is probed with an exchange while a call is open; a silent connection is replaced by a new one and the call repeated, which the job id makes idempotent; a home that answers on no new connection is answered with 'may have run', not final. Inheritance proves 'did not run' only if complete. Ruled out: a timeout on the forwarded call (a job may run for long); keepalives in each call's stream (one per open job instead of one per peer). Checked: test_peers.py over loopback, with a wire that swallows.

--- /dev/null
+++ b/packages/briarford-daemon/tests/test_peers.py
@@ -0,0 +1,293 @@
+"""Two entries over loopback sockets, with connections that go silent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+from grpclib.server import Server
+
+from briarford.homes import (
+    Exchanger,
+    Inheritance,
+    Member,
+    Minter,
+    Router,
+    ViewHolder,
+    ViewRecord,
+    choose_heir,
+)
+from briarford.homes.handover import batches
+from briarford.homes.messages import HandedJob, WireCompleted
+from briarford.homes.view import Departed, Epoch
+from briarford.jobs import JobSpec, TaskSpec
+from briarford.outcomes import (
+    Completed,
+    Failed,
+    FailureReason,
+    RefusalReason,
+    Refused,
+)
+from briarford_daemon import peers as peers_module
+from briarford_daemon.clock import Clock
+from briarford_daemon.peers import Peers, PeerService
+from briarford_daemon.wire import MsgpackCodec
+
+FAR = 1e12
+ANSWER = Completed((b"1", b"2"))
+
+
+class FakeJobs:
+    """Jobs that end when the test says so."""
+
+    def __init__(self):
+        self.jobs = {}
+        self.starts = 0
+        self.arrived = asyncio.Event()
+
+    def knows(self, job_id):
+        return job_id in self.jobs
+
+    async def submit(self, spec, remember_until):
+        if spec.job_id not in self.jobs:
+            self.starts += 1
+            loop = asyncio.get_running_loop()
+            self.jobs[spec.job_id] = loop.create_future()
+        self.arrived.set()
+        return await asyncio.shield(self.jobs[spec.job_id])
+
+    async def read(self, job_id, wait_until):
+        fut = self.jobs[job_id]
+        return fut.result() if fut.done() else None
+
+    def cancel(self, job_id):
+        self.jobs[job_id].set_result(
+            Refused(RefusalReason.CANCELLED, "cancelled", "queue", "e1")
+        )
+
+
+class Wire:
+    """A way to a server that can swallow all that comes."""
+
+    def __init__(self, port):
+        self.port = port
+        self.silent = set()
+        self.writers = []
+        self.connections = 0
+        self.refuse_all = False
+
+    async def serve(self, reader, writer):
+        number, self.connections = self.connections, self.connections + 1
+        if self.refuse_all:
+            self.silent.add(number)
+        far = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers += [writer, far[1]]
+        await asyncio.gather(
+            self.pump(number, reader, far[1]),
+            self.pump(number, far[0], writer),
+            return_exceptions=True,
+        )
+
+    async def pump(self, number, reader, writer):
+        while data := await reader.read(65536):
+            if number not in self.silent:
+                writer.write(data)
+
+    def silence(self):
+        self.silent.update(range(self.connections))
+
+
+class Entry:
+    def __init__(self, name, address):
+        self.me = Member(name, f"i-{name}", address, f"z-{name}")
+        self.clock = Clock()
+        self.holder = ViewHolder(self.me)
+        self.minter = Minter(name, self.me.incarnation, b"k")
+        self.router = Router(self.holder, self.minter)
+        self.exchanger = Exchanger(self.holder)
+        self.jobs = FakeJobs()
+        self.inheritance = Inheritance(name)
+        self.peers = Peers(
+            self.router,
+            self.exchanger,
+            self.inheritance,
+            self.jobs,
+            self.clock,
+        )
+
+    def mint(self):
+        return self.minter.mint(self.clock.now())
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@asynccontextmanager
+async def two_entries():
+    """Yield the entries ``e1`` and ``e2`` and the wire to ``e1``."""
+    ports = [free_port() for _ in range(3)]
+    home = Entry("e1", f"127.0.0.1:{ports[0]}")
+    other = Entry("e2", f"127.0.0.1:{ports[1]}")
+    members = (home.me, other.me)
+    record = ViewRecord(1, (Epoch(0.0, members),))
+    servers = []
+    for entry, port in ((home, ports[2]), (other, ports[1])):
+        entry.holder.adopt(record)
+        server = Server([PeerService(entry.peers)], codec=MsgpackCodec())
+        await server.start("127.0.0.1", port)
+        servers.append(server)
+    wire = Wire(ports[2])
+    proxy = await asyncio.start_server(wire.serve, "127.0.0.1", ports[0])
+    try:
+        yield home, other, wire
+    finally:
+        home.peers.close()
+        other.peers.close()
+        proxy.close()
+        for writer in wire.writers:
+            writer.close()
+        for server in servers:
+            server.close()
+            await server.wait_closed()
+
+
+def make_spec(job_id, payload=b"{}"):
+    return JobSpec(job_id, "s", "t", FAR, (TaskSpec(payload),))
+
+
+@pytest.fixture(autouse=True)
+def short_probes(monkeypatch):
+    monkeypatch.setattr(peers_module, "PROBE_AFTER_S", 0.1)
+    monkeypatch.setattr(peers_module, "PROBE_TIMEOUT_S", 0.3)
+
+
+async def test_submits_at_any_entry_join_one_job_at_its_home():
+    async with two_entries() as (home, other, _):
+        spec = make_spec(home.mint())
+        asked = [
+            asyncio.ensure_future(entry.peers.submit(spec))
+            for entry in (other, other, home)
+        ]
+        await home.jobs.arrived.wait()
+        assert await other.peers.read(spec.job_id, 0.0) is None
+        home.jobs.jobs[spec.job_id].set_result(ANSWER)
+        assert await asyncio.gather(*asked) == [ANSWER] * 3
+        assert await other.peers.read(spec.job_id, 0.0) == ANSWER
+        assert (home.jobs.starts, other.jobs.starts) == (1, 0)
+
+
+async def test_cancel_reaches_the_home():
+    async with two_entries() as (home, other, _):
+        spec = make_spec(home.mint())
+        asked = asyncio.ensure_future(other.peers.submit(spec))
+        await home.jobs.arrived.wait()
+        await other.peers.cancel(spec.job_id)
+        assert (await asked).reason is RefusalReason.CANCELLED
+
+
+async def test_silent_connection_is_replaced_and_the_job_joined():
+    async with two_entries() as (home, other, wire):
+        spec = make_spec(home.mint())
+        asked = asyncio.ensure_future(other.peers.submit(spec))
+        await home.jobs.arrived.wait()
+        assert await other.peers.link(home.me.address).exchange()
+        wire.silence()
+        home.jobs.arrived.clear()
+        await home.jobs.arrived.wait()
+        home.jobs.jobs[spec.job_id].set_result(ANSWER)
+        assert await asked == ANSWER
+        assert home.jobs.starts == 1
+        assert wire.connections == 2
+
+
+@pytest.mark.parametrize("known", [True, False], ids=["was-up", "never-up"])
+async def test_unreachable_home_is_answered_without_a_verdict(known):
+    async with two_entries() as (home, other, wire):
+        if known:
+            assert await other.peers.link(home.me.address).exchange()
+        wire.refuse_all = True
+        wire.silence()
+        outcome = await other.peers.submit(make_spec(home.mint()))
+        assert isinstance(outcome, Failed)
+        assert outcome.reason is FailureReason.HOME_UNREACHABLE
+        assert outcome.may_have_run
+        assert outcome.retry_at > 0
+        assert home.jobs.starts == 0
+
+
+async def test_entries_that_disagree_do_not_pass_a_job_round_for_ever():
+    async with two_entries() as (home, other, _):
+        job_id = Minter("e3", "i", b"k").mint(home.clock.now())
+        home.router.set_peers((Member("e3", "i", other.me.address),))
+        other.router.set_peers((Member("e3", "i", home.me.address),))
+        outcome = await other.peers.submit(make_spec(job_id))
+        assert outcome.reason is FailureReason.HOME_UNREACHABLE
+
+
+async def test_exchange_passes_on_the_newer_records():
+    async with two_entries() as (home, other, _):
+        newer = home.holder.record.succeed(now=home.clock.now())
+        home.holder.adopt(newer)
+        other.exchanger.adopt_preset(7, b"seven")
+        link = other.peers.link(home.me.address)
+        assert await link.exchange()
+        assert other.holder.record == newer
+        assert await link.exchange()
+        assert home.exchanger.preset == (7, b"seven")
+        assert not home.exchanger.adopt_preset(6, b"six")
+
+
+async def test_heir_answers_for_a_home_that_has_stopped():
+    async with two_entries() as (home, other, _):
+        spec = make_spec(home.mint())
+        never = make_spec(home.mint())
+        handed = HandedJob(
+            spec.job_id, spec.digest(), WireCompleted((b"1", b"2")), FAR
+        )
+        heir = choose_heir(home.me, home.holder.record.members)
+        assert heir == other.me
+        process = (home.me.name, home.me.incarnation)
+        assert await home.peers.hand_over(heir, *process, [handed])
+        gone = Departed(*process, home.clock.now(), heir)
+        other.holder.adopt(
+            other.holder.record.succeed(now=home.clock.now(), departed=(gone,))
+        )
+        assert await other.peers.submit(spec) == ANSWER
+        assert await other.peers.read(spec.job_id, 0.0) == ANSWER
+        verdict = await other.peers.submit(never)
+        assert verdict.reason is RefusalReason.STOPPING
+        changed = make_spec(spec.job_id, b"[]")
+        verdict = await other.peers.submit(changed)
+        assert verdict.reason is RefusalReason.BODY_DIFFERS
+
+
+def make_handed(number):
+    return HandedJob(f"j{number}", b"d", WireCompleted((b"x" * 90_000,)), 9.0)
+
+
+@pytest.mark.parametrize(
+    ("lost", "now", "expected"),
+    [
+        pytest.param(0, 0.0, Refused, id="all-arrived"),
+        pytest.param(1, 0.0, Failed, id="a-message-lost"),
+        pytest.param(0, 9.0, Failed, id="some-forgotten"),
+    ],
+)
+def test_only_a_complete_inheritance_proves_that_a_job_did_not_run(
+    lost, now, expected
+):
+    cut = list(batches("e1", "i", map(make_handed, range(20))))
+    assert len(cut) > 2
+    inheritance = Inheritance("e2")
+    for batch in cut[lost:]:
+        inheritance.take(batch)
+        reply = inheritance.take(batch)
+    assert reply.complete is (lost == 0)
+    inheritance.forget(now)
+    assert isinstance(inheritance.answer("e1", "i", "other"), expected)
+    assert isinstance(inheritance.answer("e1", "x", "other"), Failed)
--- a/packages/briarford/src/briarford/homes/__init__.py
+++ b/packages/briarford/src/briarford/homes/__init__.py
@@ -1,5 +1,7 @@
 """Homes: which entry may run a job, and how the entries agree on it."""
 
+from briarford.homes.exchange import Exchanger
+from briarford.homes.handover import Inheritance, batches, choose_heir
 from briarford.homes.holder import ViewHolder
 from briarford.homes.ids import ClientId, Home, MintedId, Minter, parse_id
 from briarford.homes.lease import ViewLease
@@ -16,8 +18,10 @@
     "ClientId",
     "Departed",
     "Epoch",
+    "Exchanger",
     "ForwardTo",
     "Home",
+    "Inheritance",
     "Member",
     "MintedId",
     "Minter",
@@ -29,5 +33,7 @@
     "ViewLease",
     "ViewRecord",
     "ViewTag",
+    "batches",
+    "choose_heir",
     "parse_id",
 ]
--- /dev/null
+++ b/packages/briarford/src/briarford/homes/exchange.py
@@ -0,0 +1,103 @@
+"""Passes on between entries whichever record is newer."""
+
+from __future__ import annotations
+
+import math
+
+from briarford.homes.holder import ViewHolder
+from briarford.homes.messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    PeerState,
+)
+from briarford.homes.view import ViewRecord
+
+__all__ = ["Exchanger"]
+
+
+class Exchanger:
+    """One entry's side of the exchange with all others.
+
+    :param holder: the view of this entry.
+    """
+
+    __slots__ = ("_holder", "_peers", "_preset", "_preset_version")
+
+    def __init__(self, holder: ViewHolder) -> None:
+        self._holder = holder
+        self._peers: dict[str, PeerState] = {}
+        self._preset_version = 0
+        self._preset = b""
+
+    @property
+    def preset(self) -> tuple[int, bytes]:
+        """The version of the newest preset record seen, and the record."""
+        return self._preset_version, self._preset
+
+    def adopt_preset(self, version: int, encoded: bytes) -> bool:
+        """Take in a preset record.
+
+        :return: whether it was newer than the one held.
+        """
+        if version <= self._preset_version:
+            return False
+        self._preset_version = version
+        self._preset = encoded
+        return True
+
+    def peers(self, since: float) -> tuple[PeerState, ...]:
+        """Return the peers heard since a time by their own clock."""
+        return tuple(p for p in self._peers.values() if p.sent_at >= since)
+
+    def ask(self, address: str, now: float) -> ExchangeRequest:
+        """Make the request to a peer."""
+        state = self._state(now)
+        known = self._peers.get(address)
+        if known is None:
+            return ExchangeRequest(state)
+        return ExchangeRequest(state, *self._lacking(known))
+
+    def answer(self, req: ExchangeRequest, now: float) -> ExchangeReply:
+        """Answer the request of a peer."""
+        self._take(req.state, req.view, req.preset)
+        return ExchangeReply(self._state(now), *self._lacking(req.state))
+
+    def take_reply(self, reply: ExchangeReply, asked_at: float) -> None:
+        """Take in the answer of a peer.
+
+        :param asked_at: Unix seconds before the request was sent.
+        """
+        state = reply.state
+        self._take(state, reply.view, reply.preset)
+        self._holder.heard_from_peer(
+            (state.sender.name, state.sender.incarnation),
+            state.view,
+            state.store_confirmed_at,
+            asked_at,
+        )
+
+    def _take(
+        self, state: PeerState, view: ViewRecord | None, preset: bytes
+    ) -> None:
+        self._peers[state.sender.address] = state
+        if view is not None:
+            self._holder.adopt(view)
+        if preset:
+            self.adopt_preset(state.preset_version, preset)
+
+    def _lacking(self, peer: PeerState) -> tuple[ViewRecord | None, bytes]:
+        record = self._holder.record
+        known = peer.view.version if peer.view is not None else 0
+        view = record if record and record.version > known else None
+        behind = peer.preset_version < self._preset_version
+        return view, self._preset if behind else b""
+
+    def _state(self, now: float) -> PeerState:
+        confirmed_at = self._holder.lease.store_confirmed_at
+        return PeerState(
+            self._holder.me,
+            now,
+            self._holder.tag,
+            0.0 if math.isinf(confirmed_at) else confirmed_at,
+            self._preset_version,
+        )
--- /dev/null
+++ b/packages/briarford/src/briarford/homes/handover.py
@@ -0,0 +1,141 @@
+"""Hands the ended jobs of a stopping entry to its heir."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from briarford.homes.messages import (
+    HandedJob,
+    HandOverBatch,
+    HandOverReply,
+    from_wire,
+)
+from briarford.homes.view import Member
+from briarford.messages import encode
+from briarford.outcomes import (
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+    Step,
+)
+
+__all__ = ["Inheritance", "batches", "choose_heir"]
+
+BATCH_BYTES = 500_000
+
+
+def choose_heir(
+    me: Member, members: Iterable[Member], leaving: Iterable[Member] = ()
+) -> Member | None:
+    """Choose who takes over the ended jobs of this entry.
+
+    An entry of another zone is preferred: a zone is often emptied whole.
+    """
+    taken = {m.name for m in leaving} | {me.name}
+    others = [m for m in members if m.name not in taken]
+    return max(others, key=lambda m: (m.zone != me.zone, m.name), default=None)
+
+
+def batches(
+    home: str, incarnation: str, jobs: Iterable[HandedJob]
+) -> Iterator[HandOverBatch]:
+    """Cut the ended jobs of one incarnation into messages.
+
+    There is at least one message, so that the heir knows of an incarnation
+    that ran nothing.
+    """
+    everything = tuple(jobs)
+    total = len(everything)
+    batch: list[HandedJob] = []
+    size = 0
+    for job in everything:
+        job_size = len(encode(job))
+        if batch and size + job_size > BATCH_BYTES:
+            yield HandOverBatch(home, incarnation, tuple(batch), total)
+            batch, size = [], 0
+        batch.append(job)
+        size += job_size
+    yield HandOverBatch(home, incarnation, tuple(batch), total)
+
+
+class Inheritance:
+    """Ended jobs of incarnations that have stopped.
+
+    A stopping entry refuses all submits before it counts its jobs, so a job
+    that a complete inheritance lacks did not run.
+
+    :param me: the name of this entry.
+    """
+
+    __slots__ = ("_jobs", "_me", "_totals")
+
+    def __init__(self, me: str) -> None:
+        self._me = me
+        self._jobs: dict[tuple[str, str], dict[str, HandedJob]] = {}
+        self._totals: dict[tuple[str, str], int] = {}
+
+    def take(self, batch: HandOverBatch) -> HandOverReply:
+        """Take some jobs; a repeated batch does no harm."""
+        process = (batch.home, batch.incarnation)
+        jobs = self._jobs.setdefault(process, {})
+        jobs.update((job.job_id, job) for job in batch.jobs)
+        self._totals[process] = batch.total
+        return HandOverReply(len(jobs), len(jobs) == batch.total)
+
+    def answer(
+        self,
+        home: str,
+        incarnation: str,
+        job_id: str,
+        digest: bytes | None = None,
+    ) -> Outcome:
+        """Answer for a job of an incarnation that has stopped.
+
+        :param digest: of the submission, if this is one.
+        """
+        process = (home, incarnation)
+        jobs = self._jobs.get(process, {})
+        job = jobs.get(job_id)
+        if job is None:
+            return self._unknown(process)
+        if digest is not None and digest != job.digest:
+            return Refused(
+                RefusalReason.BODY_DIFFERS,
+                "the id belongs to a job with another body",
+                Step.SUBMIT,
+                self._me,
+            )
+        return from_wire(job.outcome)
+
+    def forget(self, now: float) -> None:
+        """Drop the jobs whose ids need not be remembered any longer.
+
+        The incarnation stays known, so that its ids are never new here.
+        """
+        for process, jobs in self._jobs.items():
+            kept = {i: j for i, j in jobs.items() if j.forget_at > now}
+            if len(kept) < len(jobs):
+                self._totals[process] = -1
+            self._jobs[process] = kept
+
+    def handed(self) -> dict[tuple[str, str], tuple[HandedJob, ...]]:
+        """Return all that is held, for the next heir."""
+        return {p: tuple(jobs.values()) for p, jobs in self._jobs.items()}
+
+    def _unknown(self, process: tuple[str, str]) -> Outcome:
+        held = len(self._jobs.get(process, {}))
+        if self._totals.get(process) == held:
+            return Refused(
+                RefusalReason.STOPPING,
+                "the home of the id has stopped; submit under a new id",
+                Step.SUBMIT,
+                process[0],
+            )
+        return Failed(
+            FailureReason.HOME_LOST,
+            "the home of the job has stopped and its record is not here",
+            Step.FORWARD,
+            process[0],
+        )
--- a/packages/briarford/src/briarford/homes/routing.py
+++ b/packages/briarford/src/briarford/homes/routing.py
@@ -69,11 +69,11 @@
     :param minter: the minter of this entry.
     """
 
-    __slots__ = ("_holder", "_latest", "_me", "_minter", "_peers")
+    __slots__ = ("_holder", "_latest", "_minter", "_peers", "me")
 
     def __init__(self, holder: ViewHolder, minter: Minter) -> None:
         self._holder = holder
-        self._me = holder.me
+        self.me = holder.me
         self._minter = minter
         self._latest = 0.0
         self._peers: dict[tuple[str, str], Member] = {}
@@ -108,7 +108,7 @@
         verdict = self._minter.check(job_id, now)
         if not isinstance(verdict, Home):
             return verdict
-        if self._me.is_process(verdict.entry, verdict.incarnation):
+        if self.me.is_process(verdict.entry, verdict.incarnation):
             return ServeHere(verdict.remember_until)
         if now >= verdict.remember_until + 2 * CLOCK_SKEW_S:
             return self._too_old()
@@ -165,7 +165,7 @@
             "the view of the entries is not confirmed; nothing was started "
             "here; repeat the same id, or use a minted one",
             Step.SUBMIT,
-            self._me.name,
+            self.me.name,
             retry_at=now + RETRY_AFTER_S,
         )
 
@@ -196,7 +196,7 @@
         return self._reach(heir.name, heir.incarnation, now)
 
     def _is_me(self, member: Member) -> bool:
-        return self._me.is_process(member.name, member.incarnation)
+        return self.me.is_process(member.name, member.incarnation)
 
     def _advance(self, now: float) -> float:
         self._latest = max(self._latest, now)
@@ -210,8 +210,8 @@
             FailureReason.ANSWER_DROPPED,
             "the id is so old that the record of its job is no longer kept",
             Step.SUBMIT,
-            self._me.name,
+            self.me.name,
         )
 
     def _refuse(self, reason: RefusalReason, detail: str) -> Refused:
-        return Refused(reason, detail, Step.SUBMIT, self._me.name)
+        return Refused(reason, detail, Step.SUBMIT, self.me.name)
