Keep an entry registered, its view confirmed, and let it leave

Cause: the cores need tasks that call the store and the peers. Change: Membership runs Registration against the store, reads and plans the view each second, exchanges with one peer a turn (with all while the store is silent), and takes an entry out of the view before a planned stop. Checked: test_registration.py over loopback with a store in memory that is down or loses answers.

--- a/packages/briarford-daemon/src/briarford_daemon/peers.py
+++ b/packages/briarford-daemon/src/briarford_daemon/peers.py
@@ -82,8 +82,10 @@
     def knows(self, job_id: str) -> bool:
         """Whether the job is remembered here."""
 
-    async def submit(self, spec: JobSpec, remember_until: float) -> Outcome:
-        """Run a job or join it; wait for its outcome."""
+    async def submit(
+        self, spec: JobSpec, remember_until: float, wait_until: float
+    ) -> Outcome | None:
+        """Run a job or join it; None if it runs still at ``wait_until``."""
 
     async def read(self, job_id: str, wait_until: float) -> Outcome | None:
         """Wait for the outcome of a known job; None if it runs still."""
@@ -285,14 +287,14 @@
 
     # For the HTTP side.
 
-    async def submit(self, spec: JobSpec) -> Outcome:
-        """Run a job at its home, or join it there; wait for its outcome."""
-        outcome = await self._serve(
-            ForwardRequest(ForwardKind.SUBMIT, spec.job_id, spec)
+    async def submit(self, spec: JobSpec, wait_until: float) -> Outcome | None:
+        """Run a job at its home, or join it there.
+
+        :return: None if it runs still at ``wait_until`` (Unix seconds).
+        """
+        return await self._serve(
+            ForwardRequest(ForwardKind.SUBMIT, spec.job_id, spec, wait_until)
         )
-        if outcome is None:
-            raise AssertionError("a submit waits for the outcome")
-        return outcome
 
     async def read(self, job_id: str, wait_until: float) -> Outcome | None:
         """Read the outcome of a job; None if it runs still."""
@@ -369,7 +371,9 @@
         if not isinstance(route, ServeHere):
             return route
         if req.kind is ForwardKind.SUBMIT and req.spec is not None:
-            return await self._jobs.submit(req.spec, route.remember_until)
+            return await self._jobs.submit(
+                req.spec, route.remember_until, req.wait_until
+            )
         return Refused(
             RefusalReason.UNKNOWN_JOB,
             "no job was submitted under the id",
@@ -379,7 +383,7 @@
 
     async def _serve_known(self, req: ForwardRequest) -> Outcome | None:
         if req.kind is ForwardKind.SUBMIT and req.spec is not None:
-            return await self._jobs.submit(req.spec, 0.0)
+            return await self._jobs.submit(req.spec, 0.0, req.wait_until)
         if req.kind is ForwardKind.CANCEL:
             self._jobs.cancel(req.job_id)
         return await self._jobs.read(req.job_id, req.wait_until)
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/registration.py
@@ -0,0 +1,287 @@
+"""Keeps an entry registered and its view of the entries confirmed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from briarford.dispatch.messages import Decision
+from briarford.exceptions import StoreError
+from briarford.homes import Member, Router, ViewHolder, ViewRecord
+from briarford.homes.lease import CLOCK_SKEW_S
+from briarford.homes.view import VIEW_KEY
+from briarford.membership import (
+    EntryRecord,
+    GrantLease,
+    Registration,
+    RenewLease,
+    RevokeLease,
+    Wait,
+    WriteEntry,
+)
+from briarford.membership.messages import ENTRIES_PREFIX
+from briarford.membership.registration import REGISTRATION_TTL_S
+from briarford.messages import decode, encode
+from briarford.store import Store
+from briarford_daemon.clock import Clock
+from briarford_daemon.logs import log_decision
+from briarford_daemon.peers import Peers
+
+__all__ = ["Membership"]
+
+LOGGER = logging.getLogger("briarford.membership")
+
+VIEW_PERIOD_S = 1.0
+CALL_TIMEOUT_S = 2.0
+LEAVE_POLL_S = 0.2
+
+
+class Membership:
+    """The tasks that keep one entry among the entries.
+
+    :param holder: the view of this entry.
+    :param router: is told which entries are registered.
+    :param peers: the links to other entries.
+    :param store: the key-value service; None if there is none.
+    :param clock: the process's clock.
+    :param changed: is called when the entries may have changed.
+    """
+
+    def __init__(
+        self,
+        holder: ViewHolder,
+        router: Router,
+        peers: Peers,
+        store: Store | None,
+        clock: Clock,
+        changed: Callable[[tuple[Member, ...]], None],
+    ) -> None:
+        self._holder = holder
+        self._router = router
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+        self._changed = changed
+        self._registration = Registration(holder.me)
+        self._entries: tuple[EntryRecord, ...] = ()
+        self._seeds: tuple[str, ...] = ()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._wake = asyncio.Event()
+        self._turn = 0
+
+    def start(self, seeds: tuple[str, ...] = ()) -> None:
+        """Register, and watch the view.
+
+        :param seeds: addresses of some other entries, for when the store
+            does not answer.
+        """
+        self._seeds = seeds
+        self._tasks.append(asyncio.create_task(self._keep_in_touch()))
+        if self._store is None:
+            return
+        self._tasks.append(asyncio.create_task(self._register(self._store)))
+        self._tasks.append(asyncio.create_task(self._keep_view(self._store)))
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def leave(self, deadline: float) -> bool:
+        """Leave the view before a planned stop.
+
+        :return: whether no new id has its home here any longer.
+        """
+        self._registration.leave()
+        self._wake.set()
+        while self._clock.now() < deadline:
+            if self._has_left():
+                return True
+            await asyncio.sleep(LEAVE_POLL_S)
+        return False
+
+    async def depart(self, heir: Member | None, deadline: float) -> bool:
+        """Name the heir in the view and end the registration.
+
+        :param heir: the entry that has all ended jobs of this one.
+        :return: whether the view names the heir.
+        """
+        named = heir is not None and await self._name_heir(heir, deadline)
+        self._registration.end()
+        self._wake.set()
+        return named
+
+    def _has_left(self) -> bool:
+        record = self._holder.record
+        if record is None:
+            return True
+        if record.announced is not None:
+            return False
+        if self._holder.me in record.members:
+            return False
+        gate = record.epochs[-1].effective_at
+        return self._clock.now() > gate + CLOCK_SKEW_S
+
+    async def _name_heir(self, heir: Member, deadline: float) -> bool:
+        me = self._holder.me
+        while self._store is not None and self._clock.now() < deadline:
+            with contextlib.suppress(StoreError):
+                await self._read_view(self._store)
+                record = self._holder.record
+                if record and record.find_departed(me.name, me.incarnation):
+                    return True
+                planned = self._holder.plan_departure(heir, self._clock.now())
+                if planned is None:
+                    return False
+                await self._write_view(self._store, planned)
+                continue
+            await asyncio.sleep(LEAVE_POLL_S)
+        return False
+
+    # Registration.
+
+    async def _register(self, store: Store) -> None:
+        while True:
+            step = self._registration.next_step(self._clock.now())
+            if isinstance(step, Wait):
+                if step.until is None:
+                    return
+                await self._sleep_until(step.until)
+                continue
+            try:
+                await self._perform(store, step)
+            except StoreError as exc:
+                LOGGER.warning("registration failed", extra=_cause(exc))
+                self._registration.failed(self._clock.now())
+
+    async def _perform(
+        self,
+        store: Store,
+        step: GrantLease | RenewLease | WriteEntry | RevokeLease,
+    ) -> None:
+        asked_at = self._clock.now()
+        deadline = asked_at + CALL_TIMEOUT_S
+        if isinstance(step, GrantLease):
+            lease = await store.grant_lease(step.ttl_s, deadline)
+            self._registration.granted(lease, asked_at)
+        elif isinstance(step, RenewLease):
+            alive = await store.renew_lease(step.lease, deadline)
+            self._registration.renewed(alive, asked_at)
+        elif isinstance(step, RevokeLease):
+            await store.revoke_lease(step.lease, deadline)
+            self._registration.revoked()
+        else:
+            found = await store.swap(
+                step.key, step.value, step.expected, deadline, step.lease
+            )
+            self._registration.written(found)
+
+    async def _sleep_until(self, until: float) -> None:
+        wait = max(0.0, until - self._clock.now())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self._wake.wait()
+        self._wake.clear()
+
+    # The view.
+
+    async def _keep_view(self, store: Store) -> None:
+        while True:
+            try:
+                await self._refresh(store)
+            except StoreError as exc:
+                LOGGER.warning("view not confirmed", extra=_cause(exc))
+            except msgspec.MsgspecError as exc:
+                LOGGER.error("record not readable", extra={"error": str(exc)})
+            await asyncio.sleep(VIEW_PERIOD_S)
+
+    async def _refresh(self, store: Store) -> None:
+        await self._read_view(store)
+        deadline = self._clock.now() + CALL_TIMEOUT_S
+        listing = await store.list(ENTRIES_PREFIX, deadline)
+        entries = tuple(decode(i.value, EntryRecord) for i in listing.items)
+        self._note_entries(entries)
+        if not self._registration.holds(self._clock.now()):
+            return
+        planned = self._holder.plan(entries, self._clock.now())
+        if planned is not None:
+            await self._write_view(store, planned)
+            await self._read_view(store)
+
+    async def _read_view(self, store: Store) -> None:
+        asked_at = self._clock.now()
+        found = await store.get(VIEW_KEY, asked_at + CALL_TIMEOUT_S)
+        if found is not None:
+            record = decode(found.value, ViewRecord)
+            self._holder.read_from_store(record, asked_at)
+
+    async def _write_view(self, store: Store, record: ViewRecord) -> None:
+        """Write a record; whether it took effect shows in the next read."""
+        deadline = self._clock.now() + CALL_TIMEOUT_S
+        found = await store.swap(
+            VIEW_KEY, encode(record), record.version - 1, deadline
+        )
+        action = "view-written" if found is None else "view-write-lost-race"
+        announced = record.announced is not None
+        log_decision(
+            Decision(
+                action,
+                "announce" if announced else "activate",
+                {"version": record.version},
+            )
+        )
+
+    def _note_entries(self, entries: tuple[EntryRecord, ...]) -> None:
+        if entries == self._entries:
+            return
+        self._entries = entries
+        self._note_members(tuple(e.member for e in entries))
+
+    def _note_members(self, members: tuple[Member, ...]) -> None:
+        self._router.set_peers(members)
+        self._changed(members)
+
+    # Other entries.
+
+    async def _keep_in_touch(self) -> None:
+        while True:
+            await self._exchange_all()
+            self._holder.lease.confirm_by_members(self._clock.now())
+            await asyncio.sleep(VIEW_PERIOD_S)
+
+    async def _exchange_all(self) -> None:
+        addresses = self._addresses()
+        if self._is_confirmed():
+            # One peer a turn is enough to pass on newer records.
+            addresses = addresses[:1]
+        async with asyncio.TaskGroup() as group:
+            for address in addresses:
+                group.create_task(self._peers.link(address).exchange())
+
+    def _is_confirmed(self) -> bool:
+        record = self._holder.record
+        if record is None:
+            return False
+        confirmed_at = self._holder.lease.store_confirmed_at
+        return self._clock.now() - confirmed_at < REGISTRATION_TTL_S / 2
+
+    def _addresses(self) -> list[str]:
+        record = self._holder.record
+        members = {e.member for e in self._entries}
+        if record is not None:
+            members.update(record.members)
+        addresses = {m.address for m in members} | set(self._seeds)
+        addresses.discard(self._holder.me.address)
+        ordered = sorted(addresses)
+        self._turn += 1
+        start = self._turn % len(ordered) if ordered else 0
+        return ordered[start:] + ordered[:start]
+
+
+def _cause(exc: StoreError) -> dict[str, str]:
+    return {"error": exc.message, "step": exc.step, "peer": exc.peer}
--- a/packages/briarford-daemon/tests/test_peers.py
+++ b/packages/briarford-daemon/tests/test_peers.py
@@ -36,6 +36,7 @@
 from briarford_daemon.wire import MsgpackCodec
 
 FAR = 1e12
+HANG_LIMIT_S = 20.0
 ANSWER = Completed((b"1", b"2"))
 
 
@@ -45,12 +46,14 @@
     def __init__(self):
         self.jobs = {}
         self.starts = 0
+        self.lookups = 0
         self.arrived = asyncio.Event()
 
     def knows(self, job_id):
+        self.lookups += 1
         return job_id in self.jobs
 
-    async def submit(self, spec, remember_until):
+    async def submit(self, spec, remember_until, wait_until):
         if spec.job_id not in self.jobs:
             self.starts += 1
             loop = asyncio.get_running_loop()
@@ -144,7 +147,8 @@
     wire = Wire(ports[2])
     proxy = await asyncio.start_server(wire.serve, "127.0.0.1", ports[0])
     try:
-        yield home, other, wire
+        async with asyncio.timeout(HANG_LIMIT_S):
+            yield home, other, wire
     finally:
         home.peers.close()
         other.peers.close()
@@ -170,7 +174,7 @@
     async with two_entries() as (home, other, _):
         spec = make_spec(home.mint())
         asked = [
-            asyncio.ensure_future(entry.peers.submit(spec))
+            asyncio.ensure_future(entry.peers.submit(spec, FAR))
             for entry in (other, other, home)
         ]
         await home.jobs.arrived.wait()
@@ -184,7 +188,7 @@
 async def test_cancel_reaches_the_home():
     async with two_entries() as (home, other, _):
         spec = make_spec(home.mint())
-        asked = asyncio.ensure_future(other.peers.submit(spec))
+        asked = asyncio.ensure_future(other.peers.submit(spec, FAR))
         await home.jobs.arrived.wait()
         await other.peers.cancel(spec.job_id)
         assert (await asked).reason is RefusalReason.CANCELLED
@@ -193,7 +197,7 @@
 async def test_silent_connection_is_replaced_and_the_job_joined():
     async with two_entries() as (home, other, wire):
         spec = make_spec(home.mint())
-        asked = asyncio.ensure_future(other.peers.submit(spec))
+        asked = asyncio.ensure_future(other.peers.submit(spec, FAR))
         await home.jobs.arrived.wait()
         assert await other.peers.link(home.me.address).exchange()
         wire.silence()
@@ -212,7 +216,7 @@
             assert await other.peers.link(home.me.address).exchange()
         wire.refuse_all = True
         wire.silence()
-        outcome = await other.peers.submit(make_spec(home.mint()))
+        outcome = await other.peers.submit(make_spec(home.mint()), FAR)
         assert isinstance(outcome, Failed)
         assert outcome.reason is FailureReason.HOME_UNREACHABLE
         assert outcome.may_have_run
@@ -225,8 +229,9 @@
         job_id = Minter("e3", "i", b"k").mint(home.clock.now())
         home.router.set_peers((Member("e3", "i", other.me.address),))
         other.router.set_peers((Member("e3", "i", home.me.address),))
-        outcome = await other.peers.submit(make_spec(job_id))
+        outcome = await other.peers.submit(make_spec(job_id), FAR)
         assert outcome.reason is FailureReason.HOME_UNREACHABLE
+        assert home.jobs.lookups + other.jobs.lookups == 3
 
 
 async def test_exchange_passes_on_the_newer_records():
@@ -257,12 +262,12 @@
         other.holder.adopt(
             other.holder.record.succeed(now=home.clock.now(), departed=(gone,))
         )
-        assert await other.peers.submit(spec) == ANSWER
+        assert await other.peers.submit(spec, FAR) == ANSWER
         assert await other.peers.read(spec.job_id, 0.0) == ANSWER
-        verdict = await other.peers.submit(never)
+        verdict = await other.peers.submit(never, FAR)
         assert verdict.reason is RefusalReason.STOPPING
         changed = make_spec(spec.job_id, b"[]")
-        verdict = await other.peers.submit(changed)
+        verdict = await other.peers.submit(changed, FAR)
         assert verdict.reason is RefusalReason.BODY_DIFFERS
 
 
--- /dev/null
+++ b/packages/briarford-daemon/tests/test_registration.py
@@ -0,0 +1,219 @@
+"""Entries that register, confirm their view and leave, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+from grpclib.server import Server
+
+from briarford.exceptions import StoreError
+from briarford.homes import (
+    Exchanger,
+    ForwardTo,
+    Inheritance,
+    Member,
+    Minter,
+    Router,
+    ServeAsHeir,
+    ServeHere,
+    ViewHolder,
+    choose_heir,
+    holder,
+)
+from briarford.membership import entry_key
+from briarford.store import KeyValue, Listing
+from briarford_daemon import registration
+from briarford_daemon.clock import Clock
+from briarford_daemon.peers import Peers, PeerService
+from briarford_daemon.registration import Membership
+from briarford_daemon.wire import MsgpackCodec
+
+HANG_LIMIT_S = 30.0
+FAR = 1e12
+
+
+class FakeStore:
+    """A store in memory that can be down or lose its answers."""
+
+    def __init__(self):
+        self.items = {}
+        self.leases = {}
+        self.down = False
+        self.lose_answers = 0
+
+    def answer(self, value):
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise StoreError("answer lost", maybe_applied=True)
+        return value
+
+    def check(self):
+        if self.down:
+            raise StoreError("down")
+
+    async def get(self, key, deadline):
+        self.check()
+        return self.items.get(key)
+
+    async def list(self, prefix, deadline):
+        self.check()
+        found = [i for k, i in self.items.items() if k.startswith(prefix)]
+        return Listing(1, tuple(found))
+
+    async def swap(self, key, value, expected, deadline, lease=""):
+        self.check()
+        held = self.items.get(key, KeyValue(key, b"", 0))
+        if held.version != expected:
+            return held
+        self.items[key] = KeyValue(key, value, expected + 1)
+        self.leases.setdefault(lease, set()).add(key)
+        return self.answer(None)
+
+    async def grant_lease(self, ttl_s, deadline):
+        self.check()
+        lease = f"l{len(self.leases)}"
+        self.leases[lease] = set()
+        return self.answer(lease)
+
+    async def renew_lease(self, lease, deadline):
+        self.check()
+        return self.answer(lease in self.leases)
+
+    async def revoke_lease(self, lease, deadline):
+        self.check()
+        for key in self.leases.pop(lease, ()):
+            self.items.pop(key, None)
+
+
+class Entry:
+    def __init__(self, name, store):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self.port = sock.getsockname()[1]
+        self.me = Member(name, f"i-{name}", f"127.0.0.1:{self.port}")
+        self.clock = Clock()
+        self.holder = ViewHolder(self.me)
+        self.router = Router(
+            self.holder, Minter(name, self.me.incarnation, b"k")
+        )
+        self.inheritance = Inheritance(name)
+        self.peers = Peers(
+            self.router,
+            Exchanger(self.holder),
+            self.inheritance,
+            None,
+            self.clock,
+        )
+        self.changes = []
+        self.membership = Membership(
+            self.holder,
+            self.router,
+            self.peers,
+            store,
+            self.clock,
+            self.changes.append,
+        )
+
+    @property
+    def members(self):
+        record = self.holder.record
+        return {m.name for m in record.members} if record else set()
+
+    def known_for(self):
+        return self.holder.lease.known_until - self.clock.now()
+
+    def route(self, job_id):
+        return self.router.route(job_id, self.clock.now())
+
+
+async def until(condition):
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def run_entries(store, *names):
+    entries = [Entry(name, store) for name in names]
+    servers = []
+    for entry in entries:
+        server = Server([PeerService(entry.peers)], codec=MsgpackCodec())
+        await server.start("127.0.0.1", entry.port)
+        servers.append(server)
+        entry.membership.start()
+    try:
+        yield entries
+    finally:
+        for entry, server in zip(entries, servers, strict=True):
+            await entry.membership.close()
+            entry.peers.close()
+            server.close()
+            await server.wait_closed()
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    monkeypatch.setattr(registration, "VIEW_PERIOD_S", 0.02)
+    monkeypatch.setattr(registration, "CLOCK_SKEW_S", 0.05)
+    monkeypatch.setattr(holder, "CLOCK_SKEW_S", 0.05)
+    monkeypatch.setattr(holder, "VIEW_LEASE_S", 0.2)
+
+
+@pytest.mark.parametrize("lost", [0, 1, 5], ids=lambda n: f"{n}-answers-lost")
+async def test_entries_find_each_other_in_the_view(lost):
+    store = FakeStore()
+    store.lose_answers = lost
+    async with run_entries(store, "e1", "e2", "e3") as entries:
+        whole = {"e1", "e2", "e3"}
+        await until(lambda: all(e.members == whole for e in entries))
+        await until(lambda: all(e.changes for e in entries))
+        assert store.items[entry_key("e1")].value
+
+
+async def test_view_stays_confirmed_by_peers_while_the_store_is_down():
+    store = FakeStore()
+    async with run_entries(store, "e1", "e2") as entries:
+        await until(lambda: all(len(e.members) == 2 for e in entries))
+        await until(lambda: all(e.known_for() > 0 for e in entries))
+        store.down = True
+        bound = [e.holder.lease.known_until for e in entries]
+        for entry, before in zip(entries, bound, strict=True):
+            entry.clock = entry.membership._clock = LaterClock(600.0)
+            entry.peers._clock = entry.clock
+            for link in entry.peers._links.values():
+                link.close()
+                link._clock = entry.clock
+            assert before < entry.clock.now()
+        await until(lambda: all(e.known_for() > 0 for e in entries))
+
+
+class LaterClock(Clock):
+    def __init__(self, seconds):
+        super().__init__()
+        self.seconds = seconds
+
+    def now(self):
+        return super().now() + self.seconds
+
+
+async def test_leaving_entry_names_its_heir_and_is_gone():
+    store = FakeStore()
+    async with run_entries(store, "e1", "e2") as (staying, leaving):
+        await until(lambda: len(leaving.members) == 2 == len(staying.members))
+        job_id = leaving.router._minter.mint(leaving.clock.now())
+        assert isinstance(leaving.route(job_id), ServeHere)
+        assert staying.route(job_id) == ForwardTo(leaving.me)
+        assert await leaving.membership.leave(FAR)
+        assert leaving.members == {"e1"}
+        heir = choose_heir(leaving.me, leaving.holder.record.members)
+        process = (leaving.me.name, leaving.me.incarnation)
+        assert await leaving.peers.hand_over(heir, *process, [])
+        store.lose_answers = 1
+        assert await leaving.membership.depart(heir, FAR)
+        await until(lambda: staying.route(job_id) == ServeAsHeir(*process))
+        await until(lambda: entry_key("e2") not in store.items)
--- a/packages/briarford/src/briarford/homes/handover.py
+++ b/packages/briarford/src/briarford/homes/handover.py
@@ -112,13 +112,14 @@
     def forget(self, now: float) -> None:
         """Drop the jobs whose ids need not be remembered any longer.
 
-        The incarnation stays known, so that its ids are never new here.
+        The count of all jobs stays, so what is left proves nothing.
         """
         for process, jobs in self._jobs.items():
-            kept = {i: j for i, j in jobs.items() if j.forget_at > now}
-            if len(kept) < len(jobs):
-                self._totals[process] = -1
-            self._jobs[process] = kept
+            self._jobs[process] = {
+                job_id: job
+                for job_id, job in jobs.items()
+                if job.forget_at > now
+            }
 
     def handed(self) -> dict[tuple[str, str], tuple[HandedJob, ...]]:
         """Return all that is held, for the next heir."""
--- a/packages/briarford/src/briarford/homes/messages.py
+++ b/packages/briarford/src/briarford/homes/messages.py
@@ -119,7 +119,8 @@
     :param kind: what the client wants.
     :param job_id: the job.
     :param spec: the submission, only for SUBMIT.
-    :param wait_until: Unix seconds until which READ waits for the outcome.
+    :param wait_until: Unix seconds until which the home waits for the
+        outcome before it answers that the job runs still.
     :param hops: how many entries have passed it on before.
     """
 
