Add traces, their ideal, the load tool and the naive dispatcher

The measures need one trace for the product and for what one would write in an afternoon. Arrivals are open-loop and timed from the intended arrival, so that waiting is not hidden. The ideal bounds a job by the k longest tasks over the k fastest slots for every k, plus one round trip to the entry. Delays between zones are injected where a connection is made.

--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/ideal.py
@@ -0,0 +1,33 @@
+"""Lower bound of the response time of a job."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from itertools import accumulate
+
+from briarford_bench.profiles import Profile
+
+__all__ = ["ideal_s"]
+
+
+def ideal_s(profile: Profile, run_ms: Sequence[float]) -> float:
+    """Return the least time in which a client can have a job's answer.
+
+    All workers are idle and all run times are known: the k longest tasks
+    take at least their work over the speed of the k fastest slots, for
+    every k, and the work of all tasks takes the speed of all slots. The
+    answer takes one round trip between client and entry.
+
+    :param run_ms: true work of each task in milliseconds.
+    :return: seconds.
+    """
+    work = accumulate(sorted(run_ms, reverse=True))
+    speed = accumulate(_slot_speeds(profile))
+    bounds = [w / s for w, s in zip(work, speed, strict=False)]
+    bounds.append(sum(run_ms) / profile.capacity)
+    return max(bounds) / 1000 + 2 * profile.client_delay_ms / 1000
+
+
+def _slot_speeds(profile: Profile) -> list[float]:
+    fastest = sorted(profile.speeds, reverse=True)
+    return [speed for speed in fastest for _ in range(profile.slots)]
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/load.py
@@ -0,0 +1,237 @@
+"""Open-loop load: sends a trace to entries and records what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from briarford_bench.ideal import ideal_s
+from briarford_bench.profiles import Profile
+from briarford_bench.trace import Arrival
+
+__all__ = ["LoadGenerator", "LoadSummary", "Sample", "summarize"]
+
+STATUS_OK = 200
+MINT_COUNT = 200
+START_DELAY_S = 0.2
+ANSWER_GRACE_S = 2.0
+MAX_LATENCY_US = 600_000_000
+MAX_RATIO_PERMILLE = 10_000_000
+SIGNIFICANT_FIGURES = 3
+PERMILLE = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """What became of one arrival.
+
+    :param arrival: what was sent.
+    :param job_id: id under which it ran, empty if unknown.
+    :param outcome: completed, partial, failed, refused or unanswered.
+    :param reason: title of the problem, empty if completed.
+    :param latency_s: from the intended arrival to the answer.
+    :param answer_s: from the sending to the answer.
+    :param ended_at: Unix seconds of the answer.
+    """
+
+    arrival: Arrival
+    job_id: str
+    outcome: str
+    reason: str
+    latency_s: float
+    answer_s: float
+    ended_at: float
+
+
+class LoadGenerator:
+    """Sends each arrival when it is due, whatever is still unanswered.
+
+    :param entries: HTTP addresses, taken in turn as a balancer would.
+    :param service: the service that is asked for.
+    """
+
+    def __init__(self, entries: Sequence[str], service: str) -> None:
+        self._entries = itertools.cycle(entries)
+        self._service = service
+        self._ids: dict[str, list[str]] = {entry: [] for entry in entries}
+        self._http: aiohttp.ClientSession
+
+    async def run(self, trace: Sequence[Arrival]) -> list[Sample]:
+        """Send a trace and wait for the last answer."""
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as self._http:
+            for entry in self._ids:
+                await self._mint(entry)
+            started_at = time.time() + START_DELAY_S
+            tasks = [
+                asyncio.create_task(self._send(arrival, started_at))
+                for arrival in trace
+            ]
+            return list(await asyncio.gather(*tasks))
+
+    async def _mint(self, entry: str) -> None:
+        url = f"http://{entry}/v1/jobs?count={MINT_COUNT}"
+        async with self._http.post(url) as response:
+            self._ids[entry] += (await response.json())["ids"]
+
+    async def _send(self, arrival: Arrival, started_at: float) -> Sample:
+        due_at = started_at + arrival.at
+        await asyncio.sleep(max(0.0, due_at - time.time()))
+        sent_at = time.time()
+        job_id, outcome, reason = await self._exchange(arrival, started_at)
+        ended_at = time.time()
+        return Sample(
+            arrival,
+            job_id,
+            outcome,
+            reason,
+            ended_at - due_at,
+            ended_at - sent_at,
+            ended_at,
+        )
+
+    async def _exchange(
+        self, arrival: Arrival, started_at: float
+    ) -> tuple[str, str, str]:
+        deadline = started_at + arrival.deadline
+        wait_s = max(0.1, deadline - time.time()) + ANSWER_GRACE_S
+        try:
+            async with asyncio.timeout(wait_s):
+                return await self._ask(arrival, deadline)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            return "", "unanswered", type(exc).__name__
+
+    async def _ask(
+        self, arrival: Arrival, deadline: float
+    ) -> tuple[str, str, str]:
+        entry = next(self._entries)
+        headers = {
+            "Briarford-Team": arrival.team,
+            "Briarford-Deadline": f"{deadline:.3f}",
+        }
+        if arrival.single:
+            method = "POST"
+            url = f"http://{entry}/v1/services/{self._service}/requests"
+        else:
+            method = "PUT"
+            url = f"http://{entry}/v1/jobs/{await self._next_id(entry)}"
+        body = self._body(arrival)
+        async with self._http.request(
+            method, url, json=body, headers=headers
+        ) as response:
+            data = await response.read()
+            return _judge(arrival, response.status, data)
+
+    async def _next_id(self, entry: str) -> str:
+        if not self._ids[entry]:
+            await self._mint(entry)
+        return self._ids[entry].pop()
+
+    def _body(self, arrival: Arrival) -> dict[str, Any]:
+        payloads = [
+            {"run_ms": run_ms, "value": index, "fail": arrival.poison}
+            for index, run_ms in enumerate(arrival.run_ms)
+        ]
+        if arrival.single:
+            return {
+                "payload": payloads[0],
+                "expected_ms": arrival.expected_ms[0],
+                "idempotent": arrival.idempotent,
+            }
+        tasks = [
+            {"payload": payload, "expected_ms": expected_ms}
+            for payload, expected_ms in zip(
+                payloads, arrival.expected_ms, strict=True
+            )
+        ]
+        return {"service": self._service, "tasks": tasks}
+
+
+def _judge(arrival: Arrival, status: int, data: bytes) -> tuple[str, str, str]:
+    document = msgspec.json.decode(data, type=dict[str, Any])
+    job_id = document.get("id", "")
+    if status == STATUS_OK:
+        echoes = [result["echo"] for result in document["results"]]
+        whole = echoes == list(range(len(arrival.run_ms)))
+        return job_id, "completed" if whole else "partial", ""
+    outcome = "refused" if document.get("did_run") == "no" else "failed"
+    return job_id, outcome, document.get("title", str(status))
+
+
+@dataclass(slots=True, frozen=True)
+class LoadSummary:
+    """Figures of one run.
+
+    :param jobs: arrivals that were sent.
+    :param outcomes: how many of each outcome.
+    :param reasons: how many of each reason among those not completed.
+    :param ratio_p50: median of latency over ideal of completed jobs.
+    :param ratio_p99: its 99th percentile.
+    :param latency_p50_ms: median latency of completed jobs.
+    :param latency_p99_ms: its 99th percentile.
+    :param goodput: true work of jobs completed in time while the trace
+        lasted, over what the workers can do in that time.
+    :param refusal_max_ms: slowest refusal, from its sending.
+    :param refusals_over_50_ms: refusals that took longer than 50 ms.
+    """
+
+    jobs: int
+    outcomes: dict[str, int]
+    reasons: dict[str, int]
+    ratio_p50: float
+    ratio_p99: float
+    latency_p50_ms: float
+    latency_p99_ms: float
+    goodput: float
+    refusal_max_ms: float
+    refusals_over_50_ms: int
+
+
+def summarize(
+    profile: Profile, samples: Sequence[Sample], seconds: float
+) -> LoadSummary:
+    """Work out the figures of a run.
+
+    :param seconds: length of the trace.
+    """
+    latency = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
+    ratio = HdrHistogram(1, MAX_RATIO_PERMILLE, SIGNIFICANT_FIGURES)
+    done = [s for s in samples if s.outcome == "completed"]
+    for sample in done:
+        latency.record_value(int(sample.latency_s * 1e6))
+        ideal = ideal_s(profile, sample.arrival.run_ms)
+        ratio.record_value(int(sample.latency_s / ideal * PERMILLE))
+    refusals = [s.answer_s for s in samples if s.outcome == "refused"]
+    return LoadSummary(
+        jobs=len(samples),
+        outcomes=dict(Counter(s.outcome for s in samples)),
+        reasons=dict(Counter(s.reason for s in samples if s.reason)),
+        ratio_p50=ratio.get_value_at_percentile(50) / PERMILLE,
+        ratio_p99=ratio.get_value_at_percentile(99) / PERMILLE,
+        latency_p50_ms=latency.get_value_at_percentile(50) / 1000,
+        latency_p99_ms=latency.get_value_at_percentile(99) / 1000,
+        goodput=_goodput(profile, done, seconds),
+        refusal_max_ms=max(refusals, default=0.0) * 1000,
+        refusals_over_50_ms=sum(s > 0.05 for s in refusals),
+    )
+
+
+def _goodput(
+    profile: Profile, done: Sequence[Sample], seconds: float
+) -> float:
+    work_s = sum(
+        s.arrival.work_s
+        for s in done
+        if s.arrival.at + s.latency_s <= min(seconds, s.arrival.deadline)
+    )
+    return work_s / (profile.capacity * seconds)
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/naive.py
@@ -0,0 +1,216 @@
+"""A dispatcher as one would write it in an afternoon, to compare with.
+
+Each task goes to the next worker in turn; a worker without a free slot
+refuses it, and it goes to the one after. There are no credits, estimates,
+quotas, admission or health checks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+import msgspec
+from blacksheep import Application, Content, Request, Response, Router
+
+from briarford_bench.http_server import HttpServer
+
+__all__ = ["NaiveEntry"]
+
+JSON_TYPE = b"application/json"
+PROBLEM_TYPE = b"application/problem+json"
+STATUS_OK = 200
+STATUS_FAILED = 502
+STATUS_TIMEOUT = 504
+MIN_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.05
+DEFAULT_TIMEOUT_S = 60.0
+IDEMPOTENT_TRIES = 2
+
+
+class _TaskFailedError(Exception):
+    """A task that failed and may have run."""
+
+
+class NaiveEntry:
+    """Serves the HTTP of an entry and calls backend servers itself.
+
+    :param backends: addresses of all backend servers.
+    :param seed: seed of the first worker and of the pauses.
+    """
+
+    def __init__(self, backends: list[str], seed: int) -> None:
+        self.messages: Counter[str] = Counter()
+        self._rng = random.Random(seed)
+        self._backends = list(backends)
+        self._rng.shuffle(self._backends)
+        self._next = itertools.cycle(self._backends)
+        self._jobs: dict[str, asyncio.Task[Response]] = {}
+        self._ids = itertools.count(1)
+        self._prefix = f"{seed}-{self._rng.getrandbits(64):016x}"
+        self._server = HttpServer(self._routes())
+        self._http: aiohttp.ClientSession
+
+    @property
+    def address(self) -> str:
+        """Host and port, once started."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Serve clients."""
+        self._http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Give up what runs and stop serving."""
+        for task in self._jobs.values():
+            task.cancel()
+        await asyncio.gather(*self._jobs.values(), return_exceptions=True)
+        await self._server.stop()
+        await self._http.close()
+
+    def _routes(self) -> Application:
+        router = Router()
+
+        @router.post("/v1/jobs")
+        async def mint(request: Request) -> Response:
+            count = int(request.query.get("count", ["1"])[0])
+            return _json(201, {"ids": [self._mint() for _ in range(count)]})
+
+        @router.put("/v1/jobs/:id")
+        async def submit(request: Request) -> Response:
+            job_id = str((request.route_values or {})["id"])
+            body = await _read(request)
+            payloads = [task["payload"] for task in body["tasks"]]
+            run = self._run(job_id, payloads, _deadline(request), 1)
+            return await self._join(job_id, run)
+
+        @router.post("/v1/services/:service/requests")
+        async def single(request: Request) -> Response:
+            body = await _read(request)
+            job_id = self._mint()
+            tries = IDEMPOTENT_TRIES if body.get("idempotent") else 1
+            run = self._run(
+                job_id, [body["payload"]], _deadline(request), tries
+            )
+            return await self._join(job_id, run)
+
+        return Application(router=router)
+
+    def _mint(self) -> str:
+        return f"{self._prefix}-{next(self._ids)}"
+
+    async def _join(
+        self, job_id: str, run: Coroutine[Any, Any, Response]
+    ) -> Response:
+        if job_id in self._jobs:
+            run.close()
+        else:
+            self._jobs[job_id] = asyncio.create_task(run)
+        return await asyncio.shield(self._jobs[job_id])
+
+    async def _run(
+        self, job_id: str, payloads: list[Any], deadline: float, tries: int
+    ) -> Response:
+        tasks = [
+            asyncio.create_task(
+                self._run_task(job_id, index, payload, deadline, tries)
+            )
+            for index, payload in enumerate(payloads)
+        ]
+        try:
+            async with asyncio.timeout(deadline - time.time()):
+                results = await asyncio.gather(*tasks)
+        except TimeoutError:
+            return _problem(STATUS_TIMEOUT, "deadline passed")
+        except _TaskFailedError:
+            return _problem(STATUS_FAILED, "task failed")
+        finally:
+            for task in tasks:
+                task.cancel()
+        return _json(
+            STATUS_OK,
+            {"id": job_id, "outcome": "completed", "results": results},
+        )
+
+    async def _run_task(
+        self,
+        job_id: str,
+        index: int,
+        payload: Any,
+        deadline: float,
+        tries: int,
+    ) -> msgspec.Raw:
+        body = msgspec.json.encode(payload)
+        for attempt in range(tries):
+            result = await self._try(job_id, index, attempt, body, deadline)
+            if result is not None:
+                return msgspec.Raw(result)
+            self.messages["failed"] += 2
+        raise _TaskFailedError
+
+    async def _try(
+        self,
+        job_id: str,
+        index: int,
+        attempt: int,
+        body: bytes,
+        deadline: float,
+    ) -> bytes | None:
+        headers = {
+            "Briarford-Job": job_id,
+            "Briarford-Task": str(index),
+            "Briarford-Attempt": str(attempt),
+            "Briarford-Deadline": f"{deadline:.3f}",
+        }
+        while True:
+            url = f"http://{next(self._next)}/tasks"
+            try:
+                async with self._http.post(
+                    url, data=body, headers=headers
+                ) as response:
+                    answer = await response.read()
+            except aiohttp.ClientError:
+                return None
+            if response.status == STATUS_OK:
+                return answer
+            if response.headers.get("Briarford-Did-Run") != "no":
+                return None
+            self.messages["bounce"] += 2
+            await asyncio.sleep(
+                self._rng.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
+            )
+
+
+async def _read(request: Request) -> dict[str, Any]:
+    return msgspec.json.decode(
+        await request.read() or b"", type=dict[str, Any]
+    )
+
+
+def _deadline(request: Request) -> float:
+    value = request.get_first_header(b"Briarford-Deadline")
+    if value is None:
+        return time.time() + DEFAULT_TIMEOUT_S
+    return float(value)
+
+
+def _json(status: int, body: object) -> Response:
+    return Response(
+        status, content=Content(JSON_TYPE, msgspec.json.encode(body))
+    )
+
+
+def _problem(status: int, title: str) -> Response:
+    body = {"title": title, "status": status, "did_run": "unknown"}
+    return Response(
+        status, content=Content(PROBLEM_TYPE, msgspec.json.encode(body))
+    )
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/network.py
@@ -0,0 +1,159 @@
+"""Delays between availability zones, injected where a connection is made."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from contextvars import ContextVar
+from typing import Any, cast
+
+import uvloop
+
+from briarford_bench.profiles import Profile
+
+__all__ = ["ProfileLoop", "dialler_zone"]
+
+dialler_zone: ContextVar[str] = ContextVar("dialler_zone", default="")
+
+
+class _DelayLine:
+    """Passes items on in order, each after the same delay.
+
+    :param delay_s: seconds.
+    :param deliver: takes each item.
+    """
+
+    __slots__ = ("_delay_s", "_deliver", "_items", "_loop")
+
+    def __init__(self, delay_s: float, deliver: Callable[[Any], None]) -> None:
+        self._delay_s = delay_s
+        self._deliver = deliver
+        self._items: deque[Any] = deque()
+        self._loop = asyncio.get_running_loop()
+
+    def put(self, item: Any) -> None:
+        self._items.append(item)
+        self._loop.call_later(self._delay_s, self._next)
+
+    def _next(self) -> None:
+        self._deliver(self._items.popleft())
+
+
+class _DelayedTransport:
+    """Delays what is written, and the close after it."""
+
+    def __init__(self, transport: Any, delay_s: float) -> None:
+        self._transport = transport
+        self._line = _DelayLine(delay_s, self._send)
+        self._closing = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        self._line.put(bytes(data))
+
+    def writelines(self, parts: list[bytes]) -> None:
+        self._line.put(b"".join(parts))
+
+    def close(self) -> None:
+        if not self._closing:
+            self._closing = True
+            self._line.put(None)
+
+    def is_closing(self) -> bool:
+        return self._closing or cast(bool, self._transport.is_closing())
+
+    def _send(self, data: bytes | None) -> None:
+        if data is None:
+            self._transport.close()
+        elif not self._transport.is_closing():
+            self._transport.write(data)
+
+
+class _DelayedProtocol(asyncio.Protocol):
+    """Delays what is received."""
+
+    def __init__(self, inner: Any, delay_s: float) -> None:
+        self.inner = inner
+        self.transport: _DelayedTransport | None = None
+        self._delay_s = delay_s
+        self._line = _DelayLine(delay_s, self._receive)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.inner, name)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = _DelayedTransport(transport, self._delay_s)
+        self.inner.connection_made(self.transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._line.put(data)
+
+    def eof_received(self) -> None:
+        self._line.put(b"")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._line.put(exc)
+
+    def pause_writing(self) -> None:
+        self.inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        self.inner.resume_writing()
+
+    def _receive(self, item: Any) -> None:
+        if isinstance(item, Exception) or item is None:
+            self.inner.connection_lost(item)
+        elif item:
+            self.inner.data_received(item)
+        else:
+            self.inner.eof_received()
+
+
+class ProfileLoop(uvloop.Loop):
+    """An event loop whose connections have the delays of a profile.
+
+    The zone of the side that dials is :data:`dialler_zone`, the zone of the
+    side that listens is looked up by its port. Timers have a resolution of
+    a millisecond, so half-millisecond delays come out longer, for whatever
+    is compared alike.
+
+    :param profile: says the delays.
+    """
+
+    def __init__(self, profile: Profile) -> None:
+        super().__init__()
+        self._profile = profile
+        self._zones: dict[int, str] = {}
+
+    def set_zone(self, address: str, zone: str) -> None:
+        """Say in which zone an address listens."""
+        self._zones[int(address.rpartition(":")[2])] = zone
+
+    async def create_connection(
+        self,
+        protocol_factory: Callable[[], Any],
+        host: Any = None,
+        port: Any = None,
+        **options: Any,
+    ) -> tuple[Any, Any]:
+        """Connect, with delay both ways if the zones differ."""
+        delay_s = self._delay_s(port, options.get("sock"))
+        if delay_s == 0:
+            return await super().create_connection(
+                protocol_factory, host, port, **options
+            )
+        delayed = _DelayedProtocol(protocol_factory(), delay_s)
+        await super().create_connection(lambda: delayed, host, port, **options)
+        return delayed.transport, delayed.inner
+
+    def _delay_s(self, port: int | None, sock: Any) -> float:
+        if sock is not None:
+            port = sock.getpeername()[1]
+        zone = self._zones.get(port or 0)
+        mine = dialler_zone.get()
+        if zone is None or not mine:
+            return 0.0
+        return self._profile.delay_s(mine, zone)
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/trace.py
@@ -0,0 +1,129 @@
+"""Seeded open-loop arrivals of jobs and single requests."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from briarford_bench.profiles import Profile
+
+__all__ = ["Arrival", "make_trace", "mean_work_s"]
+
+SINGLE_SHARE = 0.4
+IDEMPOTENT_SHARE = 0.7
+MAX_TASKS = 200
+MIN_RUN_MS = 50.0
+MAX_RUN_MS = 1000.0
+LONG_SHARE = 0.02
+MIN_LONG_RUN_MS = 2000.0
+MAX_LONG_RUN_MS = 6000.0
+DECLARED_ERROR = 4.0
+MIN_PATIENCE_S = 5.0
+MAX_PATIENCE_S = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """One job or single request; times count from the start of the trace.
+
+    :param at: when it is sent, in seconds.
+    :param deadline: when its answer is no longer wanted, in seconds.
+    :param team: the team that sends it.
+    :param run_ms: true work of each task in milliseconds.
+    :param expected_ms: what the client declares for each, often far off.
+    :param single: whether it is a single request.
+    :param idempotent: whether it may run again.
+    :param poison: whether each of its tasks fails wherever it runs.
+    """
+
+    at: float
+    deadline: float
+    team: str
+    run_ms: tuple[float, ...]
+    expected_ms: tuple[float, ...]
+    single: bool
+    idempotent: bool = False
+    poison: bool = False
+
+    @property
+    def work_s(self) -> float:
+        """True work of all tasks in seconds."""
+        return sum(self.run_ms) / 1000
+
+
+def make_trace(
+    profile: Profile, load: float, seconds: float, seed: int
+) -> list[Arrival]:
+    """Draw Poisson arrivals whose work is a share of the true capacity.
+
+    :param load: offered work over capacity.
+    :param seconds: length of the trace.
+    """
+    rng = random.Random(f"{profile.name} {load} {seed}")
+    rate = load * profile.capacity / mean_work_s()
+    return list(_arrivals(profile, rate, seconds, rng))
+
+
+def mean_work_s() -> float:
+    """Return the expected true work of an arrival in seconds."""
+    mean_tasks = SINGLE_SHARE + (1 - SINGLE_SHARE) * _mean_job_tasks()
+    short = _log_uniform_mean(MIN_RUN_MS, MAX_RUN_MS)
+    long = _log_uniform_mean(MIN_LONG_RUN_MS, MAX_LONG_RUN_MS)
+    mean_ms = (1 - LONG_SHARE) * short + LONG_SHARE * long
+    return mean_tasks * mean_ms / 1000
+
+
+def _arrivals(
+    profile: Profile, rate: float, seconds: float, rng: random.Random
+) -> Iterator[Arrival]:
+    at = rng.expovariate(rate)
+    while at < seconds:
+        yield _arrival(profile, at, rng)
+        at += rng.expovariate(rate)
+
+
+def _arrival(profile: Profile, at: float, rng: random.Random) -> Arrival:
+    single = rng.random() < SINGLE_SHARE
+    count = 1 if single else _job_tasks(rng)
+    run_ms = tuple(_run_ms(rng) for _ in range(count))
+    teams, shares = zip(*profile.teams, strict=True)
+    return Arrival(
+        at=at,
+        deadline=at + rng.uniform(MIN_PATIENCE_S, MAX_PATIENCE_S),
+        team=rng.choices(teams, shares)[0],
+        run_ms=run_ms,
+        expected_ms=tuple(_declared(ms, rng) for ms in run_ms),
+        single=single,
+        idempotent=single and rng.random() < IDEMPOTENT_SHARE,
+    )
+
+
+def _job_tasks(rng: random.Random) -> int:
+    return int(_log_uniform(1, MAX_TASKS + 1, rng))
+
+
+def _mean_job_tasks() -> float:
+    span = math.log(MAX_TASKS + 1)
+    return sum(
+        n * math.log((n + 1) / n) / span for n in range(1, MAX_TASKS + 1)
+    )
+
+
+def _run_ms(rng: random.Random) -> float:
+    if rng.random() < LONG_SHARE:
+        return _log_uniform(MIN_LONG_RUN_MS, MAX_LONG_RUN_MS, rng)
+    return _log_uniform(MIN_RUN_MS, MAX_RUN_MS, rng)
+
+
+def _declared(run_ms: float, rng: random.Random) -> float:
+    return run_ms * _log_uniform(1 / DECLARED_ERROR, DECLARED_ERROR, rng)
+
+
+def _log_uniform(low: float, high: float, rng: random.Random) -> float:
+    return math.exp(rng.uniform(math.log(low), math.log(high)))
+
+
+def _log_uniform_mean(low: float, high: float) -> float:
+    return (high - low) / math.log(high / low)
