--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -0,0 +1,260 @@
+"""The product and the naive dispatcher in one process, ready for load."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any, Protocol
+
+from grpclib.events import RecvMessage, SendMessage, listen
+
+from briarford.sessions import AgentBatch, EntryBatch
+from briarford_bench.backend_core import Start
+from briarford_bench.backend_server import BackendServer
+from briarford_bench.kv_server import KvServer
+from briarford_bench.naive import NaiveEntry
+from briarford_bench.network import ProfileLoop, dialler_zone
+from briarford_bench.profiles import Profile
+from briarford_daemon.processes import AgentProcess, EntryProcess
+from briarford_daemon.settings import AgentSettings, EntrySettings
+
+__all__ = ["NaiveSystem", "ProductSystem", "System", "batch_kind"]
+
+ANY_PORT = "127.0.0.1:0"
+READY_POLLS = 200
+READY_POLL_S = 0.05
+STOP_WITHIN_S = 2.0
+MESSAGES_PER_BOUNCE = 2
+
+
+class System(Protocol):
+    """A dispatcher with its backend servers."""
+
+    backends: list[BackendServer]
+
+    @property
+    def addresses(self) -> list[str]:
+        """HTTP addresses of the entries."""
+
+    async def start(self) -> None:
+        """Start, and return once jobs can be placed."""
+
+    async def stop(self) -> None:
+        """Stop everything."""
+
+    def wasted(self) -> Counter[str]:
+        """Count messages that contributed to no answer, by kind."""
+
+    def starts(self) -> list[Start]:
+        """Return what the backend servers started."""
+
+
+class _Base:
+    """What both systems share: the backend servers and the network."""
+
+    def __init__(self, profile: Profile, seed: int) -> None:
+        self.backends: list[BackendServer] = []
+        self._profile = profile
+        self._seed = seed
+
+    def starts(self) -> list[Start]:
+        """Return what the backend servers started."""
+        return [start for b in self.backends for start in b.starts]
+
+    def _set_zone(self, address: str, zone: str) -> None:
+        loop = asyncio.get_running_loop()
+        if isinstance(loop, ProfileLoop):
+            loop.set_zone(address, zone)
+
+
+class ProductSystem(_Base):
+    """Entries, and an agent beside each backend server.
+
+    :param profile: the deployment.
+    :param seed: seed of the stand-ins.
+    """
+
+    def __init__(self, profile: Profile, seed: int) -> None:
+        super().__init__(profile, seed)
+        self.entries: list[EntryProcess] = []
+        self.agents: list[AgentProcess] = []
+        self._store = KvServer(seed=seed)
+        self._batches: Counter[str] = Counter()
+
+    @property
+    def addresses(self) -> list[str]:
+        """HTTP addresses of the entries."""
+        return [entry.http_address for entry in self.entries]
+
+    async def start(self) -> None:
+        """Start, and return once each entry knows each worker."""
+        await self._store.start()
+        rpc = [_free_address() for _ in range(self._profile.entries)]
+        for index in range(len(rpc)):
+            await self._start_entry(index, rpc)
+        for index in range(len(self._profile.speeds)):
+            await self._start_worker(index, rpc)
+        for _ in range(READY_POLLS):
+            if all(map(self._knows_all, self.entries)):
+                return
+            await asyncio.sleep(READY_POLL_S)
+        raise TimeoutError("not every entry knows every worker")
+
+    async def stop(self) -> None:
+        """Stop backend servers, agents, entries, store."""
+        await asyncio.gather(*(b.stop() for b in self.backends))
+        await asyncio.gather(*(a.stop() for a in self.agents))
+        await asyncio.gather(*(e.stop() for e in self.entries))
+        await self._store.stop()
+
+    def wasted(self) -> Counter[str]:
+        """Count messages that contributed to no answer, by kind."""
+        counts = +self._batches
+        bounces = sum(b.core.busy_replies for b in self.backends)
+        counts["bounce"] += MESSAGES_PER_BOUNCE * bounces
+        return counts
+
+    def _knows_all(self, entry: EntryProcess) -> bool:
+        workers = entry.daemon.core.placer.workers
+        return len(workers) == len(self._profile.speeds)
+
+    async def _start_entry(self, index: int, rpc: Sequence[str]) -> None:
+        zone = self._profile.zone(index)
+        dialler_zone.set(zone)
+        entry = EntryProcess(
+            EntrySettings(
+                name=f"entry-{index + 1}",
+                zone=zone,
+                http=ANY_PORT,
+                rpc=rpc[index],
+                store=self._store.address,
+                peers=tuple(a for a in rpc if a != rpc[index]),
+                stop_within_s=STOP_WITHIN_S,
+            )
+        )
+        await entry.start()
+        self._set_zone(rpc[index], zone)
+        self._set_zone(entry.http_address, zone)
+        self._watch(entry)
+        self.entries.append(entry)
+
+    async def _start_worker(self, index: int, rpc: Sequence[str]) -> None:
+        zone = self._profile.zone(index)
+        dialler_zone.set(zone)
+        agent = AgentProcess(
+            AgentSettings(
+                name=f"worker-{index + 1}",
+                zone=zone,
+                http=ANY_PORT,
+                entries=tuple(rpc),
+                stop_within_s=STOP_WITHIN_S,
+            )
+        )
+        await agent.start()
+        backend = BackendServer(
+            self._profile.backends()[index],
+            self._seed + index,
+            agent.http_address,
+        )
+        await backend.start()
+        self.agents.append(agent)
+        self.backends.append(backend)
+
+    def _watch(self, entry: EntryProcess) -> None:
+        """Count the batches of an entry's sessions at its end of them."""
+
+        async def count(event: RecvMessage | SendMessage) -> None:
+            self._count(event.message)
+
+        server = entry.daemon._server
+        listen(server, RecvMessage, count)
+        listen(server, SendMessage, count)
+
+    def _count(self, message: Any) -> None:
+        kind = batch_kind(message)
+        if kind:
+            self._batches[kind] += 1
+
+
+class NaiveSystem(_Base):
+    """Naive entries that call the backend servers themselves.
+
+    :param profile: the deployment.
+    :param seed: seed of the stand-ins.
+    """
+
+    def __init__(self, profile: Profile, seed: int) -> None:
+        super().__init__(profile, seed)
+        self.entries: list[NaiveEntry] = []
+
+    @property
+    def addresses(self) -> list[str]:
+        """HTTP addresses of the entries."""
+        return [entry.address for entry in self.entries]
+
+    async def start(self) -> None:
+        """Start the backend servers, then the entries."""
+        for index, profile in enumerate(self._profile.backends()):
+            backend = BackendServer(profile, self._seed + index)
+            await backend.start()
+            self._set_zone(backend.address, self._profile.zone(index))
+            self.backends.append(backend)
+        addresses = [b.address for b in self.backends]
+        for index in range(self._profile.entries):
+            zone = self._profile.zone(index)
+            dialler_zone.set(zone)
+            entry = NaiveEntry(addresses, self._seed + index)
+            await entry.start()
+            self._set_zone(entry.address, zone)
+            self.entries.append(entry)
+
+    async def stop(self) -> None:
+        """Stop the entries, then the backend servers."""
+        await asyncio.gather(*(e.stop() for e in self.entries))
+        await asyncio.gather(*(b.stop() for b in self.backends))
+
+    def wasted(self) -> Counter[str]:
+        """Count messages that contributed to no answer, by kind."""
+        return sum((e.messages for e in self.entries), Counter())
+
+
+def batch_kind(message: AgentBatch | EntryBatch) -> str:
+    """Name the kind of waste that a batch is; empty if it is none.
+
+    Starts, results, announcements and the first batch of a session serve
+    an answer; a batch that carries none of them is waste, also when the
+    protocol needs it.
+    """
+    if isinstance(message, AgentBatch):
+        return _agent_batch_kind(message)
+    return _entry_batch_kind(message)
+
+
+def _agent_batch_kind(batch: AgentBatch) -> str:
+    if batch.results or batch.hello or batch.worker or batch.reports:
+        return ""
+    if batch.credits or batch.recall:
+        return "credits-only"
+    return "agent-heartbeat"
+
+
+def _entry_batch_kind(batch: EntryBatch) -> str:
+    if batch.starts or batch.welcome or batch.preset or batch.entries:
+        return ""
+    if batch.cancels:
+        return "cancels-only"
+    if batch.returned:
+        return "credits-only"
+    if batch.acks:
+        return "acks-only"
+    if batch.demand:
+        return "demand-only"
+    return "entry-heartbeat"
+
+
+def _free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
