Measure how the daemons' use grows, slope by slope

Entries and one agent run as processes of their own under psutil; agents, backend servers and the client run in the tool. Each slope has at least four points, a least-squares line and its residual.

--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/slopes.py
@@ -0,0 +1,308 @@
+"""How the daemons' use of a machine grows with what they serve."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import statistics
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, fields
+
+import aiohttp
+
+from briarford.exceptions import UnknownNameError
+from briarford_bench.daemons import Usage
+from briarford_bench.fleet import SERVICE, Fleet, FleetSize
+
+__all__ = [
+    "Fit",
+    "Point",
+    "Slope",
+    "Workload",
+    "fit_line",
+    "measure_slopes",
+    "slope",
+]
+
+SETTLE_S = 3.0
+SPAN_S = 6.0
+TASK_RUN_MS = 10.0
+MINT_COUNT = 1000
+ANSWER_TIMEOUT_S = 30.0
+STATUS_OK = 200
+
+
+@dataclass(slots=True, frozen=True)
+class Workload:
+    """One point at which use is measured.
+
+    :param x: value of what varies.
+    :param size: the fleet.
+    :param tasks_per_s: tasks sent to the first entry a second.
+    :param tasks_per_job: tasks in each job.
+    :param teams: teams that send jobs in turn.
+    :param jobs_before: jobs that end before the span begins.
+    """
+
+    x: float
+    size: FleetSize = field(default_factory=FleetSize)
+    tasks_per_s: float = 0.0
+    tasks_per_job: int = 10
+    teams: int = 1
+    jobs_before: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Point:
+    """What was measured at one value.
+
+    :param x: the value.
+    :param tasks_done: tasks of jobs that completed in the span, a second.
+    :param entry: use of the first entry.
+    :param agent: use of the agent that has a process of its own.
+    """
+
+    x: float
+    tasks_done: float
+    entry: Usage
+    agent: Usage
+
+
+@dataclass(slots=True, frozen=True)
+class Fit:
+    """A line through the points.
+
+    :param base: value at zero.
+    :param per_unit: rise for one more of what varies.
+    :param residual: root mean square distance of the points.
+    """
+
+    base: float
+    per_unit: float
+    residual: float
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """How use grows with one thing.
+
+    :param name: what varies.
+    :param kind: control, or data if tasks flow.
+    :param points: what was measured.
+    :param fits: a line for each role and resource.
+    """
+
+    name: str
+    kind: str
+    points: tuple[Point, ...]
+    fits: dict[str, Fit]
+
+
+Workloads = Callable[[], Sequence[Workload]]
+
+_slopes: dict[str, tuple[str, Workloads]] = {}
+
+
+def slope(name: str, kind: str) -> Callable[[Workloads], Workloads]:
+    """Register the workloads of a slope under a name."""
+
+    def register(workloads: Workloads) -> Workloads:
+        _slopes[name] = (kind, workloads)
+        return workloads
+
+    return register
+
+
+@slope("agents", "control")
+def vary_agents() -> list[Workload]:
+    """Vary the agents while no task runs."""
+    return [Workload(n, FleetSize(agents=n)) for n in (1, 10, 20, 40, 60)]
+
+
+@slope("entries", "control")
+def vary_entries() -> list[Workload]:
+    """Vary the entries while no task runs."""
+    return [Workload(n, FleetSize(4, n)) for n in (1, 2, 4, 6)]
+
+
+@slope("tasks-per-s", "data")
+def vary_rate() -> list[Workload]:
+    """Vary the tasks a second in jobs of 10."""
+    return [
+        Workload(rate, tasks_per_s=rate) for rate in (0, 50, 100, 200, 300)
+    ]
+
+
+@slope("tasks-per-s-logged", "data")
+def vary_rate_logged() -> list[Workload]:
+    """Vary the tasks a second with a log line for each decision."""
+    return [
+        Workload(rate, FleetSize(log_level="info"), rate)
+        for rate in (0, 50, 100, 200, 300)
+    ]
+
+
+@slope("tasks-per-job", "data")
+def vary_job_size() -> list[Workload]:
+    """Vary the size of jobs at 200 tasks a second."""
+    return [
+        Workload(n, tasks_per_s=200, tasks_per_job=n)
+        for n in (1, 10, 100, 400, 1400)
+    ]
+
+
+@slope("remembered-jobs", "data")
+def vary_remembered_jobs() -> list[Workload]:
+    """Vary the ended jobs that an entry remembers, then run nothing."""
+    return [
+        Workload(n, tasks_per_job=1, jobs_before=n)
+        for n in (0, 500, 1000, 2000)
+    ]
+
+
+@slope("teams", "data")
+def vary_teams() -> list[Workload]:
+    """Vary the teams that share 200 tasks a second."""
+    return [Workload(n, tasks_per_s=200, teams=n) for n in (1, 8, 32, 69)]
+
+
+async def measure_slopes(names: Sequence[str] = ()) -> list[Slope]:
+    """Measure slopes, one point after the other.
+
+    :param names: which; all if empty.
+    :raises UnknownNameError: if there is no slope of a name.
+    """
+    for name in names:
+        if name not in _slopes:
+            raise UnknownNameError("slope", name, list(_slopes))
+    return [await _measure_slope(name) for name in names or _slopes]
+
+
+async def _measure_slope(name: str) -> Slope:
+    kind, workloads = _slopes[name]
+    points = tuple([await _measure_point(w) for w in workloads()])
+    return Slope(name, kind, points, _fits(points))
+
+
+async def _measure_point(workload: Workload) -> Point:
+    fleet = Fleet(workload.size)
+    try:
+        await fleet.start()
+        async with _Sender(fleet.addresses[0], workload) as sender:
+            await sender.run_before()
+            sending = asyncio.create_task(sender.run())
+            await asyncio.sleep(SETTLE_S)
+            point = await _read_span(fleet, sender, workload)
+            sending.cancel()
+            return point
+    finally:
+        await fleet.stop()
+
+
+async def _read_span(
+    fleet: Fleet, sender: _Sender, workload: Workload
+) -> Point:
+    entry, agent = fleet.entries[0].read(), fleet.agent.read()
+    done = sender.tasks_done
+    await asyncio.sleep(SPAN_S)
+    return Point(
+        workload.x,
+        (sender.tasks_done - done) / SPAN_S,
+        entry.usage(fleet.entries[0].read()),
+        agent.usage(fleet.agent.read()),
+    )
+
+
+class _Sender:
+    """Sends jobs of one size at a steady rate.
+
+    :param address: HTTP address of the entry.
+    :param workload: says size and rate.
+    """
+
+    def __init__(self, address: str, workload: Workload) -> None:
+        self.tasks_done = 0
+        self._url = f"http://{address}/v1/jobs"
+        self._workload = workload
+        self._ids: list[str] = []
+        self._teams = itertools.cycle(range(workload.teams))
+        self._tasks: set[asyncio.Task[None]] = set()
+        task = {"payload": {"run_ms": TASK_RUN_MS, "value": 0}}
+        self._body = {
+            "service": SERVICE,
+            "tasks": [task] * workload.tasks_per_job,
+        }
+
+    async def __aenter__(self) -> _Sender:
+        self._http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._http.close()
+
+    async def run_before(self) -> None:
+        """Run the jobs that end before the span."""
+        for _ in range(self._workload.jobs_before):
+            await self._send_job()
+
+    async def run(self) -> None:
+        """Send jobs until cancelled, each when it is due."""
+        if not self._workload.tasks_per_s:
+            return
+        due_at = time.monotonic()
+        while True:
+            task = asyncio.create_task(self._send_job())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            due_at += self._workload.tasks_per_job / self._workload.tasks_per_s
+            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
+
+    async def _send_job(self) -> None:
+        job_id = await self._next_id()
+        headers = {
+            "Briarford-Team": f"team-{next(self._teams)}",
+            "Briarford-Deadline": f"{time.time() + ANSWER_TIMEOUT_S:.3f}",
+        }
+        async with self._http.put(
+            f"{self._url}/{job_id}", json=self._body, headers=headers
+        ) as response:
+            await response.read()
+            if response.status == STATUS_OK:
+                self.tasks_done += self._workload.tasks_per_job
+
+    async def _next_id(self) -> str:
+        if not self._ids:
+            async with self._http.post(
+                f"{self._url}?count={MINT_COUNT}"
+            ) as response:
+                self._ids += (await response.json())["ids"]
+        return self._ids.pop()
+
+
+def _fits(points: Sequence[Point]) -> dict[str, Fit]:
+    xs = [point.x for point in points]
+    return {
+        f"{role}.{resource.name}": fit_line(
+            xs,
+            [getattr(getattr(p, role), resource.name) for p in points],
+        )
+        for role in ("entry", "agent")
+        for resource in fields(Usage)
+    }
+
+
+def fit_line(xs: Sequence[float], ys: Sequence[float]) -> Fit:
+    """Fit a line by least squares."""
+    line = statistics.linear_regression(xs, ys)
+    squares = [
+        (y - line.intercept - line.slope * x) ** 2
+        for x, y in zip(xs, ys, strict=True)
+    ]
+    return Fit(line.intercept, line.slope, math.sqrt(statistics.mean(squares)))
