--- a/packages/briarford-bench/src/briarford_bench/naive.py
+++ b/packages/briarford-bench/src/briarford_bench/naive.py
@@ -19,7 +19,7 @@
 import msgspec
 from blacksheep import Application, Content, Request, Response, Router
 
-from briarford_bench.http_server import HttpServer
+from briarford_daemon.http_server import HttpServer
 
 __all__ = ["NaiveEntry"]
 
--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any, Protocol
@@ -13,6 +12,7 @@
 from briarford.sessions import AgentBatch, EntryBatch
 from briarford_bench.backend_core import Start
 from briarford_bench.backend_server import BackendServer
+from briarford_bench.daemons import free_address
 from briarford_bench.kv_server import KvServer
 from briarford_bench.naive import NaiveEntry
 from briarford_bench.network import ProfileLoop, dialler_zone
@@ -91,7 +91,7 @@
     async def start(self) -> None:
         """Start, and return once each entry knows each worker."""
         await self._store.start()
-        rpc = [_free_address() for _ in range(self._profile.entries)]
+        rpc = [free_address() for _ in range(self._profile.entries)]
         for index in range(len(rpc)):
             await self._start_entry(index, rpc)
         for index in range(len(self._profile.speeds)):
@@ -252,9 +252,3 @@
     if batch.demand:
         return "demand-only"
     return "entry-heartbeat"
-
-
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
