Make changes of the record settle their own doubt

Cause: an answer of the store may be lost after the write took effect, and two operators may race; the outcome that is shown has to be true. Change: ChangeSession writes by compare-and-swap on the version that was seen, reads its change id back when in doubt, sends the same write again while the version has not moved, and rebases on request where no field clashes. An explorer runs two operators through all interleavings with up to two faults (refused, answer lost, delayed, stale, silent) against a naive configuration. Ruled out: taking a read of the expected version as proof that a write was lost; a delayed write can still land, as the explorer shows. Seen failing first: without reading the id back, with doubt forgotten, with clashes ignored, with stale reads taken.

--- /dev/null
+++ b/packages/briarford-bench/tests/test_change_races.py
@@ -0,0 +1,267 @@
+"""Two operators race through every fault at every step, in every order."""
+
+from __future__ import annotations
+
+import copy
+import pickle
+import random
+
+import msgspec
+import pytest
+
+from briarford.presets import (
+    PRESET_KEY,
+    Accepted,
+    ChangeRequest,
+    ChangeSession,
+    Conflicted,
+    Edit,
+    NotAccepted,
+    PresetHolder,
+    ReadRecord,
+    RecordError,
+    RecordFound,
+    RecordSwapped,
+    SleepUntil,
+    StoreFailed,
+    Unsettled,
+    Woken,
+    WriteRecord,
+    decode_record,
+    encode_record,
+    find_clashes,
+    make_default_record,
+    to_document,
+)
+from briarford.store import KeyValue
+from briarford_bench.kv_core import KvCore
+
+OUTCOMES = (Accepted, Conflicted, NotAccepted, Unsettled)
+NEVER = 1e9
+QUEUE = ("presets", "peak", "limits", "queue_bound")
+PEAK = to_document(make_default_record())["presets"]["peak"]
+SWITCH = Edit(("active",), "ordinary", "peak")
+BOUND_7 = Edit(QUEUE, 5000, 7)
+BOUND_8 = Edit(QUEUE, 5000, 8)
+REMOVE = Edit(("presets", "peak"), PEAK)
+
+
+class Choices:
+    """Enumerates all sequences of choices, one sequence a run."""
+
+    def __init__(self):
+        self.script = []
+        self.taken = []
+
+    def choose(self, options):
+        at = len(self.taken)
+        index = self.script[at] if at < len(self.script) else 0
+        self.taken.append((index, len(options)))
+        return options[index]
+
+    def advance(self):
+        while self.taken and self.taken[-1][0] + 1 == self.taken[-1][1]:
+            self.taken.pop()
+        self.script = [index for index, _ in self.taken]
+        self.taken = []
+        if not self.script:
+            return False
+        self.script[-1] += 1
+        return True
+
+
+class NaiveConfig:
+    """A configuration in one process, changed by one operator at a time."""
+
+    def __init__(self, record):
+        self.document = copy.deepcopy(to_document(record))
+
+    def apply(self, edits):
+        for edit in edits:
+            node = self.document
+            for key in edit.path[:-1]:
+                node = node[key]
+            if edit.new is msgspec.UNSET:
+                del node[edit.path[-1]]
+            else:
+                node[edit.path[-1]] = edit.new
+
+
+class World:
+    """A store, two sessions and the writes that are still on their way."""
+
+    def __init__(self, choices, edits, reapply, faults, give_up_s):
+        self.choices = choices
+        self.faults = faults
+        self.clocks = dict.fromkeys(edits, 0.0)
+        self.store = KvCore(random.Random(0))
+        self.first = encode_record(make_default_record())
+        self.store.swap(PRESET_KEY, self.first, 0, 0.0)
+        self.delayed = []
+        self.holder = PresetHolder()
+        self.sessions = {
+            name: self.make_session(name, edit, reapply, give_up_s)
+            for name, edit in edits.items()
+        }
+        self.next = {n: s.start(0.0) for n, s in self.sessions.items()}
+
+    def make_session(self, name, edit, reapply, give_up_s):
+        found = self.store.get(PRESET_KEY, 0.0)
+        deadline = self.clocks[name] + give_up_s
+        req = ChangeRequest(name, (edit,), name, "why", deadline, reapply)
+        record = decode_record(found.value)
+        return ChangeSession(req, record, found.version, random.Random(1))
+
+    def fingerprint(self):
+        state = (self.sessions, self.next, self.clocks, self.delayed)
+        return pickle.dumps((state, self.faults, self.record))
+
+    def run(self, visited):
+        """Run to the end, or to a state that another run has been in."""
+        while True:
+            if len(self.choices.taken) >= len(self.choices.script):
+                state = self.fingerprint()
+                if state in visited:
+                    return False
+                visited.add(state)
+            open_ = [n for n, e in self.next.items() if not done(e)]
+            landing = [("land", i) for i in range(len(self.delayed))]
+            if not open_ and not landing:
+                return True
+            kind, which = self.choices.choose(
+                [("step", n) for n in open_] + landing
+            )
+            if kind == "land":
+                self.land(which)
+            else:
+                self.step(which)
+            self.observe()
+
+    def land(self, index):
+        write = self.delayed.pop(index)
+        if self.choices.choose(["arrives", "is lost"]) == "arrives":
+            self.store.swap(PRESET_KEY, write.encoded, write.expected, 0.0)
+
+    def step(self, name):
+        event = self.carry_out(name, self.next[name])
+        now = self.clocks[name]
+        self.next[name] = self.sessions[name].handle(event, now)
+
+    def pick(self, *fates):
+        fate = self.choices.choose(fates if self.faults else fates[:1])
+        self.faults -= fate != "ok"
+        return fate
+
+    def carry_out(self, name, effect):
+        match effect:
+            case SleepUntil(at):
+                self.clocks[name] = at
+                return Woken()
+            case ReadRecord():
+                return self.read()
+            case WriteRecord():
+                return self.write(effect)
+
+    def read(self):
+        fate = self.pick("ok", "no answer", "stale")
+        found = self.store.get(PRESET_KEY, 0.0)
+        if fate == "no answer":
+            return StoreFailed("down", False)
+        if fate == "stale":
+            return RecordFound(KeyValue(PRESET_KEY, self.first, 1))
+        return RecordFound(found)
+
+    def write(self, effect):
+        fate = self.pick("ok", "refused", "answer lost", "delayed")
+        if fate == "refused":
+            return StoreFailed("down", False)
+        if fate == "delayed":
+            self.delayed.append(effect)
+            return StoreFailed("slow", True)
+        reply = self.store.swap(
+            PRESET_KEY, effect.encoded, effect.expected, 0.0
+        )
+        if fate == "answer lost":
+            return StoreFailed("lost", True)
+        return RecordSwapped(None if reply.written else reply.found)
+
+    def observe(self):
+        before = self.holder.version
+        self.holder.offer(self.store.get(PRESET_KEY, 0.0).value, 0.0)
+        assert self.holder.version - before in (0, 1) or not before
+
+    @property
+    def record(self):
+        return decode_record(self.store.get(PRESET_KEY, 0.0).value)
+
+
+def done(effect):
+    return isinstance(effect, OUTCOMES)
+
+
+def check(world, edits):
+    record = world.record
+    made = [change.change_id for change in record.history]
+    assert len(made) == len(set(made))
+    assert record.version == 1 + len(made)
+    if find_clashes([edits["ann"]], [edits["bob"]]):
+        assert len(made) <= 1
+    naive = NaiveConfig(make_default_record())
+    for name in made:
+        naive.apply([edits[name]])
+    final = to_document(record)
+    for field in ("active", "presets", "drains"):
+        assert final[field] == naive.document[field]
+    for name, outcome in world.next.items():
+        match outcome:
+            case Accepted(_, version):
+                assert record.find_change(name).version == version
+            case Conflicted() | NotAccepted():
+                assert name not in made
+
+
+def check_repeat_settles(world, edits, reapply):
+    """Repeat an unsettled change under its id: it is made once or never."""
+    for name, outcome in world.next.items():
+        if not isinstance(outcome, Unsettled):
+            continue
+        world.faults = 0
+        session = world.make_session(name, edits[name], reapply, NEVER)
+        try:
+            effect = session.start(world.clocks[name])
+        except RecordError:
+            effect = NotAccepted("the edit no longer fits")
+        while not done(effect):
+            event = world.carry_out(name, effect)
+            effect = session.handle(event, world.clocks[name])
+        made = [c.change_id for c in world.record.history]
+        assert made.count(name) == isinstance(effect, Accepted)
+
+
+@pytest.mark.parametrize("faults", [0, 1, 2])
+@pytest.mark.parametrize("reapply", [False, True], ids=["stop", "reapply"])
+@pytest.mark.parametrize(
+    "pair",
+    [
+        pytest.param((BOUND_7, BOUND_8), id="same-field"),
+        pytest.param((BOUND_7, SWITCH), id="other-field"),
+        pytest.param((REMOVE, BOUND_8), id="group-and-field"),
+        pytest.param((REMOVE, SWITCH), id="switch-to-the-removed"),
+    ],
+)
+def test_outcomes_are_true_in_every_interleaving(pair, reapply, faults):
+    edits = dict(zip(("ann", "bob"), pair, strict=True))
+    seen = set()
+    for give_up_s in (0.04, 0.2):
+        choices = Choices()
+        visited = set()
+        more = True
+        while more:
+            world = World(choices, edits, reapply, faults, give_up_s)
+            if world.run(visited):
+                check(world, edits)
+                seen.update(type(o) for o in world.next.values())
+                check_repeat_settles(world, edits, reapply)
+            more = choices.advance()
+    assert Accepted in seen
+    assert faults == 0 or Unsettled in seen
--- a/packages/briarford/src/briarford/presets/__init__.py
+++ b/packages/briarford/src/briarford/presets/__init__.py
@@ -18,6 +18,21 @@
 )
 from briarford.presets.exceptions import RecordError
 from briarford.presets.holder import Adopted, Ignored, PresetHolder
+from briarford.presets.messages import (
+    Accepted,
+    ChangeEffect,
+    ChangeOutcome,
+    Conflicted,
+    NotAccepted,
+    ReadRecord,
+    RecordFound,
+    RecordSwapped,
+    SleepUntil,
+    StoreFailed,
+    Unsettled,
+    Woken,
+    WriteRecord,
+)
 from briarford.presets.schema import (
     Admission,
     Change,
@@ -29,23 +44,39 @@
     Quota,
     Record,
 )
+from briarford.presets.session import ChangeRequest, ChangeSession
 
 __all__ = [
     "PRESET_KEY",
+    "Accepted",
     "Admission",
     "Adopted",
     "Change",
+    "ChangeEffect",
+    "ChangeOutcome",
+    "ChangeRequest",
+    "ChangeSession",
     "Clash",
+    "Conflicted",
     "Drain",
     "Edit",
     "Ignored",
     "Limits",
+    "NotAccepted",
     "Placement",
     "Preset",
     "PresetHolder",
     "Quota",
+    "ReadRecord",
     "Record",
     "RecordError",
+    "RecordFound",
+    "RecordSwapped",
+    "SleepUntil",
+    "StoreFailed",
+    "Unsettled",
+    "Woken",
+    "WriteRecord",
     "apply_change",
     "apply_edits",
     "build_record",
--- a/packages/briarford/src/briarford/store/guard.py
+++ b/packages/briarford/src/briarford/store/guard.py
@@ -13,6 +13,7 @@
 __all__ = ["CallGuard", "Deferred", "GuardLimits"]
 
 PROBE_TIMEOUT_S = 10.0
+ROUNDING_CALLS = 1e-4  # Unix time as a float is no finer than 0.2 us
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,7 +113,7 @@
         earned = max(0.0, now - self._tokens_at) * limits.calls_per_s
         self._tokens = min(limits.burst, self._tokens + earned)
         self._tokens_at = now
-        if self._tokens >= 1.0:
+        if self._tokens >= 1.0 - ROUNDING_CALLS:
             return None
         wait_s = (1.0 - self._tokens) / limits.calls_per_s
         return Deferred("budget-spent", now + wait_s)
