Order waiting tasks by share and rank, place by learnt speed, limit load

The first Placer scanned all workers for each task and all queues for each drop, and knew neither speeds nor teams. Now each service has heaps: jobs by team share and remaining work, ready workers by a logarithmic class of the time that a usual task takes there, learnt from results.

--- /dev/null
+++ b/packages/briarford/src/briarford/limits/admission.py
@@ -0,0 +1,112 @@
+"""Admission: whether a job that would be queued now can be answered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from briarford.jobs.messages import JobSpec
+from briarford.limits.config import LimitConfig
+from briarford.outcomes import RefusalReason, Refused, Step
+
+__all__ = ["Load", "check_deadline", "check_queue", "expected_s"]
+
+SHORTEST_RETRY_S = 0.1
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What stands before a job that arrives now.
+
+    :param slots: slots that the entry can count on.
+    :param run_s: expected seconds of one task of the job.
+    :param queued: tasks that wait for the service.
+    :param queued_s: their expected run time in seconds.
+    :param team_queued: the part of ``queued`` that is the job's team's.
+    :param team_queued_s: the part of ``queued_s`` that is its team's.
+    :param team_part: the team's part of the slots while others wait too,
+        from 0 to 1.
+    :param team_slots: slots that the team's quota allows at this entry;
+        None for no limit.
+    """
+
+    slots: float
+    run_s: float
+    queued: int
+    queued_s: float
+    team_queued: int
+    team_queued_s: float
+    team_part: float = 1.0
+    team_slots: int | None = None
+
+
+def expected_s(tasks: int, load: Load) -> float:
+    """Expect in how many seconds a job of so many tasks would end.
+
+    The job waits at most for all that is queued, or for what its own team
+    has queued at the team's part of the slots, whichever is sooner.
+    """
+    own_s = tasks * load.run_s
+    by_all_s = (load.queued_s + own_s) / load.slots
+    team_slots = load.slots * load.team_part
+    by_team_s = (load.team_queued_s + own_s) / team_slots
+    waiting_s = min(by_all_s, by_team_s)
+    if load.team_slots is not None:
+        quota_s = (load.team_queued_s + own_s) / max(load.team_slots, 1)
+        waiting_s = max(waiting_s, quota_s)
+    return waiting_s + load.run_s
+
+
+def check_deadline(
+    spec: JobSpec, load: Load, cfg: LimitConfig, entry: str, now: float
+) -> Refused | None:
+    """Refuse a job that would not be answered by its deadline."""
+    if spec.deadline <= now:
+        return _refuse(
+            RefusalReason.DEADLINE_PASSED, "the deadline is past", entry, None
+        )
+    if not cfg.refuse_unreachable:
+        return None
+    needed_s = expected_s(len(spec.tasks), load) * cfg.admission_margin
+    late_s = now + needed_s - spec.deadline
+    if late_s <= 0:
+        return None
+    return _refuse(
+        RefusalReason.DEADLINE_UNREACHABLE,
+        f"the answer would take about {needed_s:.1f} s",
+        entry,
+        now + max(late_s, SHORTEST_RETRY_S),
+    )
+
+
+def check_queue(
+    spec: JobSpec, load: Load, cfg: LimitConfig, entry: str, now: float
+) -> Refused | None:
+    """Refuse a job that would make the queue longer than its bound.
+
+    A team keeps its part of the queue, however much the others queue.
+    """
+    tasks = len(spec.tasks)
+    if tasks > cfg.max_queued:
+        return _refuse(
+            RefusalReason.QUEUE_FULL,
+            f"a job has at most {cfg.max_queued} tasks",
+            entry,
+            None,
+        )
+    over = load.queued + tasks - cfg.max_queued
+    part = cfg.max_queued * load.team_part
+    if over <= 0 or load.team_queued + tasks <= part:
+        return None
+    drained_s = over * load.run_s / load.slots
+    return _refuse(
+        RefusalReason.QUEUE_FULL,
+        f"{load.queued} tasks wait at this entry",
+        entry,
+        now + max(drained_s, SHORTEST_RETRY_S),
+    )
+
+
+def _refuse(
+    reason: RefusalReason, detail: str, entry: str, retry_at: float | None
+) -> Refused:
+    return Refused(reason, detail, Step.ADMIT, entry, retry_at)
--- /dev/null
+++ b/packages/briarford/src/briarford/limits/quotas.py
@@ -0,0 +1,101 @@
+"""Divides a team's quota over entries by the demand that they report.
+
+Each entry works the same division out of the same reports. A part that
+shrinks does so at once; a part that grows does so only when the report
+behind it has had time to reach every entry. So the parts never add up to
+more than the quota while reports arrive within that time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+__all__ = ["QuotaDivider", "divide"]
+
+REPORTS_ARRIVE_S = 0.5
+
+
+def divide(quota: int, demands: Mapping[str, int]) -> dict[str, int]:
+    """Divide a quota by demand; each entry counts as one task at least.
+
+    :param quota: tasks that may run at once.
+    :param demands: running and waiting tasks by entry.
+    """
+    weights = {entry: max(1, n) for entry, n in demands.items()}
+    total = sum(weights.values())
+    parts = {e: quota * w // total for e, w in weights.items()}
+    remainders = sorted(
+        weights, key=lambda e: (-(quota * weights[e] % total), e)
+    )
+    for entry in remainders[: quota - sum(parts.values())]:
+        parts[entry] += 1
+    return parts
+
+
+@dataclass(slots=True)
+class Part:
+    """What an entry may use of one team's quota.
+
+    :param allowed: tasks that it may run at once.
+    :param next_allowed: a larger part that is due later.
+    :param grows_at: Unix seconds when it is.
+    """
+
+    allowed: int
+    next_allowed: int = 0
+    grows_at: float | None = None
+
+
+class QuotaDivider:
+    """One entry's parts of the team quotas.
+
+    :param entry: the entry's name.
+    :param reports_arrive_s: seconds within which a report reaches all.
+    """
+
+    __slots__ = ("_arrive_s", "_entry", "_parts", "_reports")
+
+    def __init__(
+        self, entry: str, reports_arrive_s: float = REPORTS_ARRIVE_S
+    ) -> None:
+        self._entry = entry
+        self._arrive_s = reports_arrive_s
+        self._reports: dict[str, dict[str, int]] = {entry: {}}
+        self._parts: dict[str, Part] = {}
+
+    def report(self, entry: str, demands: Mapping[str, int]) -> None:
+        """Take in an entry's running and waiting tasks by team.
+
+        The own report is to be the one that the other entries get.
+        """
+        self._reports[entry] = dict(demands)
+
+    def forget(self, entry: str) -> None:
+        """Drop an entry that is gone for good."""
+        if entry != self._entry:
+            self._reports.pop(entry, None)
+
+    def allowed(self, team: str, quota: int, now: float) -> int:
+        """Return how many tasks of a team may run at this entry."""
+        demands = {e: r.get(team, 0) for e, r in self._reports.items()}
+        target = divide(quota, demands)[self._entry]
+        part = self._parts.get(team)
+        if part is None:
+            first = quota // len(demands)
+            part = self._parts[team] = Part(min(target, first))
+        self._move(part, target, now)
+        return part.allowed
+
+    def _move(self, part: Part, target: int, now: float) -> None:
+        if target <= part.allowed:
+            part.allowed = target
+            part.grows_at = None
+            return
+        if part.grows_at is None:
+            part.grows_at = now + self._arrive_s
+            part.next_allowed = target
+        part.next_allowed = min(part.next_allowed, target)
+        if now >= part.grows_at:
+            part.allowed = part.next_allowed
+            part.grows_at = None
--- /dev/null
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -0,0 +1,47 @@
+"""The numbers of placement that a preset can set."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = ["PlacementConfig", "TeamQuota"]
+
+
+@dataclass(slots=True, frozen=True)
+class TeamQuota:
+    """What a team may use of the fleet.
+
+    :param share: weight of the team when the queue is shared out.
+    :param max_running: tasks that it may run at once over all entries; None
+        for no limit.
+    """
+
+    share: float = 1.0
+    max_running: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementConfig:
+    """How tasks are ordered and workers are chosen.
+
+    :param strategy: registered name of the strategy.
+    :param zone_penalty_ms: how much slower a worker of another availability
+        zone may look than it is before its own zone's worker is preferred.
+    :param leave_slow_slots: whether a slow slot stays empty when waiting for
+        a fast one ends the job sooner.
+    :param aging_weight: how fast a waiting job gains on shorter ones; 0
+        orders by remaining work alone.
+    :param urgent_margin: a job goes first once its deadline is closer than
+        this many times its remaining time.
+    :param recall_after_ms: how long demand waits before an agent recalls
+        idle credits of other entries.
+    :param quotas: by team; a team that is not listed has the default quota.
+    """
+
+    strategy: str = "soonest-end"
+    zone_penalty_ms: float = 3.0
+    leave_slow_slots: bool = True
+    aging_weight: float = 1.0
+    urgent_margin: float = 2.0
+    recall_after_ms: float = 5.0
+    quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -128,7 +128,6 @@
             return False
         _spend(state, 1)
         state.running += 1
-        state.demand = max(0, state.demand - 1)
         return True
 
     def ended(self, entry: str) -> None:
--- /dev/null
+++ b/packages/briarford/src/briarford/placement/groups.py
@@ -0,0 +1,137 @@
+"""Workers of one service and shape, in an order that is cheap to keep."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from functools import lru_cache
+
+from briarford.placement.state import WorkerShape, WorkerState
+
+__all__ = ["COST_CLASS_RATIO", "WorkerGroup", "cost_class", "cost_s"]
+
+COMPACT_ABOVE = 64
+COST_CLASS_RATIO = 1.1
+LOG_RATIO = math.log(COST_CLASS_RATIO)
+
+
+def cost_class(seconds: float) -> int:
+    """Return the logarithmic class of a time."""
+    return round(math.log(seconds) / LOG_RATIO)
+
+
+@lru_cache(maxsize=1024)
+def cost_s(class_: int) -> float:
+    """Return the time in the middle of a class, in seconds."""
+    return math.exp(class_ * LOG_RATIO)
+
+
+class WorkerGroup:
+    """Workers that could hold the same tasks.
+
+    :param shape: the shape of all of them.
+    """
+
+    __slots__ = ("_names", "_ready", "_workers", "running", "shape", "slots")
+
+    def __init__(self, shape: WorkerShape) -> None:
+        self.shape = shape
+        self.slots = 0
+        """Slots of the workers that take work."""
+        self.running: dict[int, int] = {}
+        self._workers: dict[str, WorkerState] = {}
+        self._names: list[str] = []
+        self._ready: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def add(self, worker: WorkerState) -> None:
+        """Take a worker in."""
+        self._workers[worker.name] = worker
+        self._names.append(worker.name)
+        self._count_running(worker.cost_class, worker.running)
+        self.refresh(worker)
+        self.recount_slots()
+
+    def remove(self, worker: WorkerState) -> None:
+        """Let a worker go."""
+        del self._workers[worker.name]
+        self._names.remove(worker.name)
+        self._count_running(worker.cost_class, -worker.running)
+        self.recount_slots()
+
+    def set_cost(self, worker: WorkerState, seconds: float) -> None:
+        """Take in how long a usual task takes on a worker."""
+        class_ = cost_class(seconds)
+        if class_ == worker.cost_class:
+            return
+        self._count_running(worker.cost_class, -worker.running)
+        worker.cost_class = class_
+        self._count_running(class_, worker.running)
+        self.refresh(worker)
+
+    def count_start(self, worker: WorkerState) -> None:
+        """Spend a credit, if there is one, and count a task as running."""
+        worker.credits = max(0, worker.credits - 1)
+        worker.running += 1
+        if worker.allowance is not None:
+            worker.allowance -= 1
+        self._count_running(worker.cost_class, 1)
+
+    def count_end(self, worker: WorkerState) -> None:
+        """Count a task as ended."""
+        if worker.running > 0:
+            worker.running -= 1
+            self._count_running(worker.cost_class, -1)
+
+    def refresh(self, worker: WorkerState) -> None:
+        """List a worker that became ready or changed its cost class."""
+        if worker.ready and worker.ready_as != worker.cost_class:
+            worker.ready_as = worker.cost_class
+            heapq.heappush(self._ready, (worker.cost_class, worker.name))
+            if len(self._ready) > COMPACT_ABOVE + 2 * len(self._workers):
+                self._compact()
+
+    def recount_slots(self) -> None:
+        """Count anew after a worker came, left or changed its state."""
+        self.slots = sum(w.slots for w in self._workers.values() if w.open)
+
+    def fastest_ready(self) -> WorkerState | None:
+        """Return the ready worker of the lowest cost class."""
+        while self._ready:
+            class_, name = self._ready[0]
+            worker = self._workers.get(name)
+            if worker is not None and worker.ready_as == class_:
+                if worker.ready and worker.cost_class == class_:
+                    return worker
+                worker.ready_as = None
+            heapq.heappop(self._ready)
+            if worker is not None:
+                self.refresh(worker)
+        return None
+
+    def all_ready(self) -> list[WorkerState]:
+        """Return all workers that are ready."""
+        return [w for w in self._workers.values() if w.ready]
+
+    def at(self, position: int) -> WorkerState:
+        """Return the worker at a position, wrapping around."""
+        return self._workers[self._names[position % len(self._names)]]
+
+    def _compact(self) -> None:
+        self._ready = [
+            (w.ready_as, w.name)
+            for w in self._workers.values()
+            if w.ready_as is not None
+        ]
+        heapq.heapify(self._ready)
+
+    def _count_running(self, class_: int, change: int) -> None:
+        if change == 0:
+            return
+        count = self.running.get(class_, 0) + change
+        if count:
+            self.running[class_] = count
+        else:
+            self.running.pop(class_, None)
--- /dev/null
+++ b/packages/briarford/src/briarford/placement/queue.py
@@ -0,0 +1,204 @@
+"""The order in which waiting tasks get slots.
+
+Teams share by weight. Within a team a job whose deadline is close goes
+first; then the job with the least remaining work, less what it has waited.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from briarford.placement.messages import QueuedTask
+
+__all__ = ["FairQueue", "JobEntry", "TeamShare"]
+
+COMPACT_ABOVE = 64
+
+
+@dataclass(slots=True)
+class TeamShare:
+    """How much a team has had of a service, over all its queues.
+
+    :param team: the team.
+    :param weight: its share of the queue relative to other teams.
+    :param used: slot seconds that it had, divided by its weight.
+    :param queued: tasks that wait.
+    :param queued_s: their expected run time in seconds.
+    :param running: tasks that run now.
+    :param max_running: tasks that may run at this entry; None for no limit.
+    """
+
+    team: str
+    weight: float = 1.0
+    used: float = 0.0
+    queued: int = 0
+    queued_s: float = 0.0
+    running: int = 0
+    max_running: int | None = None
+
+    @property
+    def capped(self) -> bool:
+        """Whether the team must not start more now."""
+        return self.max_running is not None and (
+            self.running >= self.max_running
+        )
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """The waiting tasks of one job.
+
+    :param run_s: expected seconds of one task when it was queued.
+    :param rank: remaining work in seconds plus the weighed arrival time.
+    :param latest_start: Unix seconds from which the job is urgent.
+    """
+
+    job_id: str
+    share: TeamShare
+    deadline: float
+    queued_at: float
+    tasks: deque[QueuedTask]
+    run_s: float
+    rank: float = 0.0
+    latest_start: float = 0.0
+
+    def without_tasks(self) -> JobEntry:
+        """Make a like entry that holds no task yet."""
+        return replace(self, tasks=deque())
+
+    def __lt__(self, other: JobEntry) -> bool:
+        """Order by rank, then arrival, for heaps."""
+        if self.rank != other.rank:
+            return self.rank < other.rank
+        return self.job_id < other.job_id
+
+
+@dataclass(slots=True)
+class TeamJobs:
+    """The waiting jobs of one team."""
+
+    share: TeamShare
+    by_rank: list[JobEntry] = field(default_factory=list)
+    by_start: list[tuple[float, str, JobEntry]] = field(default_factory=list)
+
+    def push(self, job: JobEntry) -> None:
+        """Add a job whose rank and latest start are set."""
+        heapq.heappush(self.by_rank, job)
+        heapq.heappush(self.by_start, (job.latest_start, job.job_id, job))
+        if len(self.by_start) > COMPACT_ABOVE + 2 * len(self.by_rank):
+            self.by_start = [i for i in self.by_start if i[2].tasks]
+            heapq.heapify(self.by_start)
+
+    def first(self, now: float) -> JobEntry | None:
+        """Return the job that goes next, without taking it out."""
+        self._drop_finished()
+        if not self.by_rank:
+            return None
+        return self._urgent(now) or self.by_rank[0]
+
+    def last(self) -> JobEntry | None:
+        """Return a job that goes late, without taking it out."""
+        while self.by_rank and not self.by_rank[-1].tasks:
+            self.by_rank.pop()
+        return self.by_rank[-1] if self.by_rank else None
+
+    def _drop_finished(self) -> None:
+        while self.by_rank and not self.by_rank[0].tasks:
+            heapq.heappop(self.by_rank)
+        while self.by_start and not self.by_start[0][2].tasks:
+            heapq.heappop(self.by_start)
+
+    def _urgent(self, now: float) -> JobEntry | None:
+        while self.by_start and self.by_start[0][0] <= now:
+            job = self.by_start[0][2]
+            if job.tasks and job.deadline > now:
+                return job
+            heapq.heappop(self.by_start)
+        return None
+
+
+class FairQueue:
+    """Waiting jobs of tasks that the same workers can hold."""
+
+    __slots__ = ("_active", "_teams", "size")
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._teams: dict[str, TeamJobs] = {}
+        self._active: list[tuple[float, str]] = []
+
+    def push(self, job: JobEntry) -> None:
+        """Queue a job's tasks."""
+        self._count(job, len(job.tasks))
+        team = job.share.team
+        jobs = self._teams.get(team)
+        if jobs is None:
+            jobs = self._teams[team] = TeamJobs(job.share)
+            self._catch_up(job.share)
+            heapq.heappush(self._active, (job.share.used, team))
+        jobs.push(job)
+
+    def first(self, now: float) -> JobEntry | None:
+        """Return the job that goes next, without taking it out."""
+        capped = []
+        found = None
+        while self._active and found is None:
+            used, team = self._active[0]
+            jobs = self._teams[team]
+            if used != jobs.share.used:
+                heapq.heapreplace(self._active, (jobs.share.used, team))
+            elif jobs.share.capped:
+                capped.append(heapq.heappop(self._active))
+            else:
+                found = self._first_of_team(jobs, now)
+        for item in capped:
+            heapq.heappush(self._active, item)
+        return found
+
+    def least_used(self, now: float) -> float:
+        """Return what the team that goes next has used."""
+        job = self.first(now)
+        return job.share.used if job else math.inf
+
+    def last(self) -> JobEntry | None:
+        """Return a job that goes late, without taking it out."""
+        for _, team in reversed(self._active):
+            jobs = self._teams[team]
+            if jobs.share.capped:
+                continue
+            job = jobs.last()
+            if job is not None:
+                return job
+        return None
+
+    def take(self, job: JobEntry) -> QueuedTask:
+        """Take the next task of a job out of the queue."""
+        self._count(job, -1)
+        return job.tasks.popleft()
+
+    def drop(self, job: JobEntry) -> list[QueuedTask]:
+        """Take all tasks of a job out of the queue."""
+        dropped = list(job.tasks)
+        self._count(job, -len(dropped))
+        job.tasks.clear()
+        return dropped
+
+    def _first_of_team(self, jobs: TeamJobs, now: float) -> JobEntry | None:
+        first = jobs.first(now)
+        if first is None:
+            heapq.heappop(self._active)
+            del self._teams[jobs.share.team]
+        return first
+
+    def _count(self, job: JobEntry, change: int) -> None:
+        self.size += change
+        job.share.queued += change
+        job.share.queued_s += change * job.run_s
+
+    def _catch_up(self, share: TeamShare) -> None:
+        """Keep a team that was away from claiming what it did not use."""
+        if self._active:
+            share.used = max(share.used, self._active[0][0])
--- /dev/null
+++ b/packages/briarford/src/briarford/placement/speeds.py
@@ -0,0 +1,90 @@
+"""Run times learnt from results: how slow each worker is, how long a task.
+
+The model is ``log(run time) = job + worker + noise``. Comparing tasks of
+one job with each other separates a slow worker from a long job.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["SpeedBook"]
+
+FIRST_RUN_S = 0.3
+SHORTEST_RUN_S = 1e-4
+PRIOR_RUNS = 2
+LOWEST_GAIN = 0.04
+LARGEST_SURPRISE = 1.0
+REMEMBERED_WORKERS = 10_000
+
+
+@dataclass(slots=True)
+class Estimate:
+    """A running mean of logarithms.
+
+    :param value: the mean.
+    :param count: observations that it rests on, the prior's included.
+    """
+
+    value: float
+    count: int = PRIOR_RUNS
+
+    def add(self, sample: float) -> None:
+        """Move towards a sample; single surprises count only in part."""
+        self.count += 1
+        surprise = sample - self.value
+        surprise = max(-LARGEST_SURPRISE, min(LARGEST_SURPRISE, surprise))
+        self.value += max(1.0 / self.count, LOWEST_GAIN) * surprise
+
+
+class SpeedBook:
+    """Learns the run times of one service."""
+
+    __slots__ = ("_jobs", "_teams", "_used", "_workers")
+
+    def __init__(self) -> None:
+        self._used = Estimate(0.0)
+        self._workers: dict[str, Estimate] = {}
+        self._teams: dict[str, Estimate] = {}
+        self._jobs: dict[str, Estimate] = {}
+
+    def slowness(self, worker: str) -> float:
+        """Run time on this worker relative to a usual one."""
+        known = self._workers.get(worker)
+        return math.exp(known.value) if known else 1.0
+
+    def run_s(self, team: str, job_id: str = "") -> float:
+        """Return the expected seconds of one task on a usual worker."""
+        known = self._jobs.get(job_id) or self._teams.get(team)
+        return math.exp(known.value) if known else self.usual_run_s()
+
+    def usual_run_s(self) -> float:
+        """Return the expected seconds of any task on a usual worker."""
+        known = self._teams.get("")
+        return math.exp(known.value) if known else FIRST_RUN_S
+
+    def used_slowness(self) -> float:
+        """Slowness of the workers that tasks ran on of late."""
+        return math.exp(self._used.value)
+
+    def observe(
+        self, worker: str, team: str, job_id: str, run_s: float
+    ) -> None:
+        """Take in the run time of a task that ended well."""
+        sample = math.log(max(run_s, SHORTEST_RUN_S))
+        usual = self._teams.setdefault("", Estimate(sample, 0))
+        of_team = self._teams.setdefault(team, Estimate(usual.value))
+        of_job = self._jobs.setdefault(job_id, Estimate(of_team.value, 1))
+        of_worker = self._workers.setdefault(worker, Estimate(0.0))
+        of_worker.add(sample - of_job.value)
+        self._used.add(of_worker.value)
+        effect = sample - of_worker.value
+        for estimate in (usual, of_team, of_job):
+            estimate.add(effect)
+        if len(self._workers) > REMEMBERED_WORKERS:
+            del self._workers[next(iter(self._workers))]
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop what was learnt of a job that ended."""
+        self._jobs.pop(job_id, None)
--- a/packages/briarford/src/briarford/placement/state.py
+++ b/packages/briarford/src/briarford/placement/state.py
@@ -4,9 +4,32 @@
 
 from dataclasses import dataclass
 
-from briarford.placement.messages import QueuedTask
+from briarford.jobs.messages import TaskSpec
+from briarford.sessions.messages import WorkerInfo
 
-__all__ = ["WorkerState"]
+__all__ = ["WorkerShape", "WorkerState"]
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerShape:
+    """What decides which tasks a worker could ever hold."""
+
+    processors: float
+    memory_mb: int
+    accelerators: int
+
+    @classmethod
+    def of(cls, info: WorkerInfo) -> WorkerShape:
+        """Take the shape out of an announcement."""
+        return cls(info.processors, info.memory_mb, info.accelerators)
+
+    def fits(self, spec: TaskSpec) -> bool:
+        """Whether a worker of this shape could ever hold the task."""
+        return (
+            self.processors >= spec.processors
+            and self.memory_mb >= spec.memory_mb
+            and self.accelerators >= spec.accelerators
+        )
 
 
 @dataclass(slots=True)
@@ -16,28 +39,37 @@
     :param name: the name of its agent.
     :param service: the service of its backend server.
     :param zone: its availability zone.
+    :param shape: what it could hold.
     :param slots: tasks that it runs at the same time, for all entries.
     :param credits: unspent slots granted to this entry.
     :param running: tasks that this entry has started there.
     :param leaving: whether it takes no new work.
+    :param allowance: starts that a guard still allows; None for no limit.
+    :param cost_class: logarithmic class of the time of a usual task there.
+    :param ready_as: the cost class under which it is listed as ready; None
+        if it is not listed.
     """
 
     name: str
     service: str
     zone: str
+    shape: WorkerShape
     slots: int
-    processors: float
-    memory_mb: int
-    accelerators: int
     credits: int = 0
     running: int = 0
     leaving: bool = False
+    allowance: int | None = None
+    cost_class: int = 0
+    ready_as: int | None = None
 
-    def fits(self, task: QueuedTask) -> bool:
-        """Whether the worker could ever hold the task."""
-        return (
-            self.service == task.service
-            and self.processors >= task.spec.processors
-            and self.memory_mb >= task.spec.memory_mb
-            and self.accelerators >= task.spec.accelerators
-        )
+    @property
+    def ready(self) -> bool:
+        """Whether a task can be started there now, on a credit."""
+        if self.leaving or self.credits <= 0:
+            return False
+        return self.allowance is None or self.allowance > 0
+
+    @property
+    def open(self) -> bool:
+        """Whether it takes work at all, credits aside."""
+        return not self.leaving and self.allowance is None
--- a/packages/briarford/src/briarford/placement/strategies.py
+++ b/packages/briarford/src/briarford/placement/strategies.py
@@ -4,43 +4,76 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from briarford.exceptions import UnknownNameError
-from briarford.placement.messages import QueuedTask
+from briarford.placement.groups import WorkerGroup, cost_s
 from briarford.placement.state import WorkerState
 
-__all__ = ["Strategy", "find_strategy", "strategy"]
+__all__ = [
+    "Choice",
+    "MostCredits",
+    "Random",
+    "RoundRobin",
+    "SoonestEnd",
+    "Strategy",
+    "TwoChoices",
+    "find_strategy",
+    "make_strategy",
+    "strategy",
+]
+
+WORTH_WAITING_RATIO = 0.9
+
+
+@dataclass(slots=True)
+class Choice:
+    """What a strategy may look at.
+
+    :param groups: the workers that could hold the task.
+    :param relative_run: expected run time relative to a usual task.
+    :param ahead: waiting tasks up to the end of the task's job.
+    :param leave_slow_slots: whether waiting for a faster slot is allowed.
+    """
+
+    groups: Sequence[WorkerGroup]
+    relative_run: float
+    ahead: int
+    leave_slow_slots: bool
 
 
 class Strategy(Protocol):
-    """Chooses among workers that fit a task and have a credit."""
+    """Chooses a worker for the task that goes next."""
 
-    def __call__(
-        self,
-        task: QueuedTask,
-        workers: Sequence[WorkerState],
-        zone: str,
-        rng: random.Random,
-    ) -> WorkerState:
-        """Choose one of ``workers``, which is never empty."""
+    uses_credits: bool
 
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose a worker; None to keep the task waiting."""
 
-_strategies: dict[str, Strategy] = {}
 
+_strategies: dict[str, Callable[[random.Random], Strategy]] = {}
 
-def strategy(name: str) -> Callable[[Strategy], Strategy]:
+
+def strategy(
+    name: str,
+) -> Callable[
+    [Callable[[random.Random], Strategy]],
+    Callable[[random.Random], Strategy],
+]:
     """Register a strategy under a name that presets can use."""
 
-    def register(choose: Strategy) -> Strategy:
-        _strategies[name] = choose
-        return choose
+    def register(
+        make: Callable[[random.Random], Strategy],
+    ) -> Callable[[random.Random], Strategy]:
+        _strategies[name] = make
+        return make
 
     return register
 
 
-def find_strategy(name: str) -> Strategy:
-    """Return the strategy of that name.
+def find_strategy(name: str) -> Callable[[random.Random], Strategy]:
+    """Return what makes the strategy of that name.
 
     :raises UnknownNameError: if there is none.
     """
@@ -49,23 +82,123 @@
     return _strategies[name]
 
 
-@strategy("random")
-def choose_random(
-    task: QueuedTask,
-    workers: Sequence[WorkerState],
-    zone: str,
-    rng: random.Random,
-) -> WorkerState:
-    """Choose any worker with equal probability."""
-    return rng.choice(workers)
+def make_strategy(name: str, rng: random.Random) -> Strategy:
+    """Make a strategy by its name.
+
+    :raises UnknownNameError: if there is none of that name.
+    """
+    return find_strategy(name)(rng)
+
+
+@strategy("soonest-end")
+class SoonestEnd:
+    """Takes the fastest free slot, or waits if that ends the job sooner."""
+
+    uses_credits = True
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose the fastest ready worker that is worth using."""
+        ready = [w for g in choice.groups if (w := g.fastest_ready())]
+        if not ready:
+            return None
+        best = min(ready, key=lambda w: w.cost_class)
+        if choice.leave_slow_slots and _is_worth_waiting(best, choice):
+            return None
+        return best
+
+
+def _is_worth_waiting(worker: WorkerState, choice: Choice) -> bool:
+    """Whether the job ends sooner if this slot stays empty."""
+    faster = 0
+    ends_per_s = 0.0
+    for group in choice.groups:
+        for class_, count in group.running.items():
+            if class_ < worker.cost_class:
+                faster += count
+                ends_per_s += count / cost_s(class_)
+    if not faster:
+        return False
+    fast_run_s = faster / ends_per_s * choice.relative_run
+    slow_run_s = cost_s(worker.cost_class) * choice.relative_run
+    waiting_s = choice.ahead / ends_per_s
+    return waiting_s + fast_run_s < slow_run_s * WORTH_WAITING_RATIO
 
 
 @strategy("most-credits")
-def choose_most_credits(
-    task: QueuedTask,
-    workers: Sequence[WorkerState],
-    zone: str,
-    rng: random.Random,
-) -> WorkerState:
-    """Choose the worker with the most unspent credits, own zone first."""
-    return max(workers, key=lambda w: (w.credits, w.zone == zone, w.name))
+class MostCredits:
+    """Spreads tasks over free slots, blind to speeds and zones."""
+
+    uses_credits = True
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose the worker with the most unspent credits."""
+        ready = [w for g in choice.groups for w in g.all_ready()]
+        return max(ready, key=lambda w: (w.credits, w.name), default=None)
+
+
+@strategy("random")
+class Random:
+    """Sends a task to any worker, full or not; full ones bounce it."""
+
+    uses_credits = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose any worker with equal probability."""
+        return _worker_at(
+            choice.groups, self._rng.randrange(_count(choice.groups))
+        )
+
+
+@strategy("round-robin")
+class RoundRobin:
+    """Sends tasks to the workers in turn; full ones bounce them."""
+
+    uses_credits = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self._next = rng.randrange(1 << 16)
+
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose the worker after the last one."""
+        self._next += 1
+        return _worker_at(choice.groups, self._next % _count(choice.groups))
+
+
+@strategy("two-choices")
+class TwoChoices:
+    """Sends a task to the emptier of two random workers."""
+
+    uses_credits = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, choice: Choice) -> WorkerState | None:
+        """Choose by the tasks that this entry runs there."""
+        count = _count(choice.groups)
+        pair = [
+            _worker_at(choice.groups, self._rng.randrange(count))
+            for _ in range(2)
+        ]
+        return min(pair, key=lambda w: w.running)
+
+
+def _count(groups: Sequence[WorkerGroup]) -> int:
+    return sum(len(g) for g in groups)
+
+
+def _worker_at(groups: Sequence[WorkerGroup], position: int) -> WorkerState:
+    for group in groups:
+        if position < len(group):
+            return group.at(position)
+        position -= len(group)
+    raise IndexError(position)
