Follow the record in the store and at peers

Cause: a watch may go silent for good, the store may be down when a process starts, and reads may be stale. HttpStore takes the process's clock, so that a step of the system clock moves no deadline. The circuit opens for 3 s at most, to stay within the time for a change. Seen failing first: asking the peers never, watching again without a read.

--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/preset_watcher.py
@@ -0,0 +1,141 @@
+"""Runs a preset follower against the key-value service and the peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from briarford.dispatch.messages import Decision, PresetAdopted
+from briarford.exceptions import StoreError
+from briarford.presets import PRESET_KEY, Adopted, PresetHolder
+from briarford.presets.follower import (
+    AskPeers,
+    FollowEffect,
+    FollowEvent,
+    FollowFailed,
+    Listed,
+    ListRecord,
+    PeersAnswered,
+    PresetFollower,
+    WatchRecord,
+)
+from briarford.presets.messages import Woken
+from briarford.store import Store
+from briarford_daemon.clock import Clock
+from briarford_daemon.logs import log_decision
+
+__all__ = ["PresetWatcher"]
+
+LOGGER = logging.getLogger("briarford.presets")
+
+FetchRecords = Callable[[float], Awaitable[tuple[bytes, ...]]]
+
+
+async def _no_peers(deadline: float) -> tuple[bytes, ...]:
+    return ()
+
+
+class PresetWatcher:
+    """Adopts each newer record, from the store or from peers.
+
+    :param store: the key-value service.
+    :param clock: the process's clock.
+    :param adopt: gets each record that is adopted.
+    :param fetch: asks the peers for their encoded records by a deadline
+        (Unix seconds); called only while the store does not answer.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        adopt: Callable[[PresetAdopted], None],
+        fetch: FetchRecords = _no_peers,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.holder = PresetHolder()
+        self._store = store
+        self._clock = clock
+        self._adopt = adopt
+        self._fetch = fetch
+        self._follower = PresetFollower(self.holder, rng or random.Random())
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """What became of the records and calls so far, for metrics."""
+        return dict(self._follower.counts)
+
+    async def start(self) -> None:
+        """Follow the record until :meth:`stop`."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop following."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    def offer(self, encoded: bytes) -> bool:
+        """Take a record that a peer sent; whether it was adopted."""
+        result = self._follower.offer(encoded, self._clock.now())
+        self._deliver()
+        return isinstance(result, Adopted)
+
+    async def _run(self) -> None:
+        effect = self._follower.start(self._clock.now())
+        while True:
+            event = await self._carry_out(effect)
+            effect = self._follower.handle(event, self._clock.now())
+            self._deliver()
+
+    async def _carry_out(self, effect: FollowEffect) -> FollowEvent:
+        if isinstance(effect, AskPeers):
+            return await self._ask_peers(effect.deadline)
+        try:
+            if isinstance(effect, ListRecord):
+                return Listed(
+                    await self._store.list(PRESET_KEY, effect.deadline)
+                )
+            if isinstance(effect, WatchRecord):
+                return Listed(
+                    await self._store.watch(
+                        PRESET_KEY, effect.after, effect.deadline
+                    )
+                )
+        except StoreError as exc:
+            LOGGER.warning(exc.message, extra={"step": exc.step})
+            return FollowFailed()
+        await asyncio.sleep(max(0.0, effect.at - self._clock.now()))
+        return Woken()
+
+    async def _ask_peers(self, deadline: float) -> PeersAnswered:
+        wait_s = max(0.0, deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(wait_s):
+                return PeersAnswered(await self._fetch(deadline))
+        except (TimeoutError, OSError):
+            return PeersAnswered(())
+
+    def _deliver(self) -> None:
+        for adopted in self._follower.take_adopted():
+            log_decision(_describe(adopted))
+            self._adopt(PresetAdopted(adopted.version, adopted.encoded))
+
+
+def _describe(adopted: Adopted) -> Decision:
+    record = adopted.record
+    last = record.history[-1] if record.history else None
+    fields: dict[str, str | int | float] = {
+        "version": adopted.version,
+        "preset": record.active,
+        "drains": len(record.drains),
+    }
+    if last is None:
+        return Decision("preset-adopted", "the first record", fields)
+    fields |= {"who": last.who, "change_id": last.change_id}
+    return Decision("preset-adopted", last.why, fields)
--- a/packages/briarford-daemon/src/briarford_daemon/store_client.py
+++ b/packages/briarford-daemon/src/briarford_daemon/store_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Mapping
 from typing import TypeVar
 
@@ -12,6 +11,7 @@
 
 from briarford.exceptions import StoreError
 from briarford.store import CallGuard, Deferred, GuardLimits, KeyValue, Listing
+from briarford_daemon.clock import Clock
 
 __all__ = ["HttpStore"]
 
@@ -34,6 +34,7 @@
 
     :param address: host and port.
     :param rng: spreads the retries after an outage.
+    :param clock: the clock of the deadlines.
     """
 
     def __init__(
@@ -41,7 +42,9 @@
         address: str,
         rng: random.Random | None = None,
         limits: GuardLimits | None = None,
+        clock: Clock | None = None,
     ) -> None:
+        self._clock = clock or Clock()
         self._address = address
         self.guard = CallGuard(rng or random.Random(), limits)
         self._http: aiohttp.ClientSession | None = None
@@ -114,7 +117,7 @@
         self, prefix: str, after: int, deadline: float
     ) -> Listing | None:
         """Wait for a change under a prefix after a revision."""
-        wait_s = max(0.0, deadline - time.time())
+        wait_s = max(0.0, deadline - self._clock.now())
         params = {
             "prefix": prefix,
             "after": str(after),
@@ -136,7 +139,7 @@
         deadline: float,
         body: bytes = b"",
     ) -> tuple[int, bytes]:
-        now = time.time()
+        now = self._clock.now()
         if deadline <= now:
             raise self._error(kind, "the deadline has passed")
         held = self.guard.admit(kind, now)
@@ -147,17 +150,17 @@
                 method, path, params, deadline, body
             )
         except aiohttp.ClientConnectorError as exc:
-            self.guard.failed(kind, time.time())
+            self.guard.failed(kind, self._clock.now())
             raise self._error(kind, str(exc)) from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            self.guard.failed(kind, time.time())
+            self.guard.failed(kind, self._clock.now())
             detail = str(exc) or "no answer by the deadline"
             raise self._error(kind, detail, maybe_applied=True) from exc
         if status < 500 and status not in REFUSED:
             self.guard.succeeded(kind)
             return status, answer
         if status != 400:
-            self.guard.failed(kind, time.time(), retry_at)
+            self.guard.failed(kind, self._clock.now(), retry_at)
         detail = f"answered {status}: {answer[:200].decode(errors='replace')}"
         raise self._error(kind, detail, maybe_applied=status not in REFUSED)
 
@@ -169,7 +172,7 @@
         deadline: float,
         body: bytes,
     ) -> tuple[int, bytes, float]:
-        timeout = aiohttp.ClientTimeout(total=deadline - time.time())
+        timeout = aiohttp.ClientTimeout(total=deadline - self._clock.now())
         async with self._session().request(
             method,
             f"http://{self._address}{path}",
@@ -179,7 +182,9 @@
         ) as response:
             answer = await response.read()
             wait_s = response.headers.get("retry-after", "0")
-            retry_at = time.time() + float(wait_s) if wait_s != "0" else 0.0
+            retry_at = (
+                self._clock.now() + float(wait_s) if wait_s != "0" else 0.0
+            )
             return response.status, answer, retry_at
 
     def _session(self) -> aiohttp.ClientSession:
--- a/packages/briarford/src/briarford/store/guard.py
+++ b/packages/briarford/src/briarford/store/guard.py
@@ -31,7 +31,7 @@
     burst: float = 40.0
     failures_to_open: int = 3
     first_delay_s: float = 0.25
-    longest_delay_s: float = 4.0
+    longest_delay_s: float = 3.0
 
 
 @dataclass(slots=True, frozen=True)
