--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -0,0 +1,516 @@
+"""Try out placement decisions in virtual time.
+
+Drives only :class:`Placer` and :class:`SlotGranter`: batches between them
+take a fixed delay, tasks take drawn run times. It has no sessions, losses or
+processes. Run ``python -m briarford_bench.placement_trial --help``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from briarford.jobs import JobSpec, TaskRef, TaskSpec
+from briarford.limits import LimitConfig
+from briarford.placement import (
+    PlacementConfig,
+    Placer,
+    QueuedTask,
+    SlotGranter,
+)
+from briarford.sessions import TaskStatus, WorkerInfo
+
+__all__ = ["Report", "Trial", "TrialConfig", "make_jobs", "run_trial"]
+
+SERVICE = "lease-desk"
+SLOTS = 8
+SLOWNESS = (0.6, 0.6, 0.8, 0.8, 1.0, 1.0, 1.0, 1.3, 1.3, 2.0, 3.0)
+ZONES = 4
+SAME_ZONE_S = 0.00025
+OTHER_ZONE_S = 0.0015
+CLIENT_S = 0.001
+BOUNCE_RETRY_S = 0.01
+LONG_TASKS = 0.003
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class TrialConfig:
+    """What to try.
+
+    :param strategy: registered name of the placement strategy.
+    :param load: offered work as a part of the fleet's capacity.
+    :param entries: entries, each gets jobs at random.
+    :param seconds: virtual seconds in which jobs arrive.
+    :param seed: seed of the jobs and of random choices.
+    :param slowness: run time of each worker relative to a usual one.
+    :param deadline_s: seconds that a client waits at least.
+    :param announce_all: whether new demand is told to every agent at once.
+    :param leave_slow_slots: see :class:`PlacementConfig`.
+    :param aging_weight: see :class:`PlacementConfig`.
+    :param recall_after_ms: see :class:`PlacementConfig`.
+    :param refuse_unreachable: see :class:`LimitConfig`.
+    :param prefetch: credits per slot beyond the first.
+    """
+
+    strategy: str = "soonest-end"
+    load: float = 0.7
+    entries: int = 3
+    seconds: float = 120.0
+    seed: int = 1
+    slowness: tuple[float, ...] = SLOWNESS
+    deadline_s: float = 10.0
+    announce_all: bool = False
+    leave_slow_slots: bool = True
+    aging_weight: float = 1.0
+    recall_after_ms: float = 5.0
+    refuse_unreachable: bool = True
+    prefetch: int = 0
+
+    @property
+    def capacity(self) -> float:
+        """Seconds of usual run time that the fleet does in a second."""
+        return sum(SLOTS / s for s in self.slowness)
+
+
+@dataclass(slots=True)
+class TrialJob:
+    """A job with the run times that its tasks really have."""
+
+    spec: JobSpec
+    arrives_at: float
+    entry: int
+    run_s: tuple[float, ...]
+    left: int = 0
+    started: bool = False
+    ended_at: float | None = None
+    slowest_s: float = 0.0
+
+    def ideal_s(self, cfg: TrialConfig) -> float:
+        """Return a lower bound of the job's time on an empty fleet."""
+        longest = max(self.run_s) * min(cfg.slowness)
+        spread = sum(self.run_s) / cfg.capacity
+        return max(longest, spread) + 2 * (CLIENT_S + SAME_ZONE_S)
+
+
+@dataclass(slots=True)
+class Batch:
+    """All that one side has for the other in one turn."""
+
+    starts: list[QueuedTask] = field(default_factory=list)
+    results: list[tuple[QueuedTask, TaskStatus, float]] = field(
+        default_factory=list
+    )
+    credits: int = 0
+    recall: int = 0
+    returned: int = 0
+    demand: int = 0
+
+    @property
+    def useful(self) -> bool:
+        """Whether it carries a start or a result."""
+        return bool(self.starts or self.results)
+
+
+@dataclass(slots=True)
+class Report:
+    """What a trial measured."""
+
+    cfg: TrialConfig
+    jobs: int = 0
+    done: int = 0
+    refused: int = 0
+    late: int = 0
+    tasks_done: int = 0
+    work_in_time_s: float = 0.0
+    messages: int = 0
+    wasted: Counter[str] = field(default_factory=Counter)
+    ratios: list[float] = field(default_factory=list)
+    overheads: list[float] = field(default_factory=list)
+
+    def quantile(self, values: list[float], part: float) -> float:
+        """Return a quantile; NaN of nothing."""
+        if not values:
+            return math.nan
+        ordered = sorted(values)
+        return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+    @property
+    def wasted_per_task(self) -> float:
+        """Messages that carried no part of an answer, per task done."""
+        return sum(self.wasted.values()) / max(1, self.tasks_done)
+
+    @property
+    def goodput(self) -> float:
+        """Part of the capacity that went into answers in time."""
+        return self.work_in_time_s / self.cfg.seconds / self.cfg.capacity
+
+    def line(self) -> str:
+        """Show the report in one line."""
+        return (
+            f"{self.cfg.strategy:12} load {self.cfg.load:3.1f}"
+            f" ratio p50 {self.quantile(self.ratios, 0.5):5.2f}"
+            f" p99 {self.quantile(self.ratios, 0.99):6.2f}"
+            f" own p50 {self.quantile(self.overheads, 0.5):5.2f}"
+            f" p99 {self.quantile(self.overheads, 0.99):6.2f}"
+            f" waste/task {self.wasted_per_task:6.3f}"
+            f" goodput {self.goodput:5.3f}"
+            f" jobs {self.jobs} done {self.done} refused {self.refused}"
+            f" late {self.late} {dict(self.wasted)}"
+        )
+
+
+def make_jobs(cfg: TrialConfig) -> list[TrialJob]:
+    """Draw the jobs of a trial; the strategy has no part in it.
+
+    Arrival times are scaled so that the work offered is exactly the load.
+    """
+    rng = random.Random(cfg.seed)
+    offered_s = cfg.load * cfg.capacity * cfg.seconds
+    works: list[tuple[float, ...]] = []
+    drawn_s = 0.0
+    while drawn_s < offered_s:
+        works.append(_draw_run_times(rng))
+        drawn_s += sum(works[-1])
+    gaps = [rng.expovariate(1.0) for _ in works]
+    scale = cfg.seconds / sum(gaps)
+    times = itertools.accumulate(gap * scale for gap in gaps)
+    return [
+        _make_job(cfg, rng, number, now, run_s)
+        for number, (now, run_s) in enumerate(zip(times, works, strict=True))
+    ]
+
+
+def _draw_run_times(rng: random.Random) -> tuple[float, ...]:
+    kind = rng.random()
+    count = 1
+    if kind > 0.5:
+        count = rng.randint(2, 10)
+    if kind > 0.9:
+        count = rng.randint(10, 40)
+    usual = min(1.0, max(0.05, rng.lognormvariate(math.log(0.2), 0.7)))
+    return tuple(_draw_run_time(rng, usual) for _ in range(count))
+
+
+def _draw_run_time(rng: random.Random, usual: float) -> float:
+    if rng.random() < LONG_TASKS:
+        return rng.uniform(2.0, 5.0)
+    return usual * rng.lognormvariate(0.0, 0.2)
+
+
+def _make_job(
+    cfg: TrialConfig,
+    rng: random.Random,
+    number: int,
+    now: float,
+    run_s: tuple[float, ...],
+) -> TrialJob:
+    spec = JobSpec(
+        job_id=f"{number:08d}",
+        service=SERVICE,
+        team=rng.choice(("contracts", "installers")),
+        deadline=now + max(cfg.deadline_s, 5 * max(run_s)),
+        tasks=tuple(TaskSpec(b"{}", 1.0, 100) for _ in run_s),
+    )
+    entry = rng.randrange(cfg.entries)
+    return TrialJob(spec, now, entry, run_s, left=len(run_s))
+
+
+class Trial:
+    """One run of one strategy.
+
+    :param cfg: what to try.
+    """
+
+    def __init__(self, cfg: TrialConfig) -> None:
+        self.cfg = cfg
+        self.report = Report(cfg)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._now = 0.0
+        self._jobs: dict[str, TrialJob] = {}
+        self._placers = [self._make_placer(e) for e in range(cfg.entries)]
+        self._granters = [self._make_granter() for _ in cfg.slowness]
+        self._backlog: list[list[tuple[int, QueuedTask]]] = [
+            [] for _ in cfg.slowness
+        ]
+        self._busy = [0 for _ in cfg.slowness]
+        self._told: list[set[int]] = [set() for _ in range(cfg.entries)]
+
+    def run(self) -> Report:
+        """Run to the end of the last job."""
+        for worker in range(len(self.cfg.slowness)):
+            self._turn_agent(worker, {})
+        for job in make_jobs(self.cfg):
+            self._at(job.arrives_at + CLIENT_S, partial(self._arrive, job))
+        while self._events:
+            self._now, _, act = heapq.heappop(self._events)
+            act()
+        return self.report
+
+    def _make_placer(self, entry: int) -> Placer:
+        cfg = self.cfg
+        placer = Placer(
+            f"entry-{entry}",
+            f"zone-{entry % ZONES}",
+            random.Random(cfg.seed * 1000 + entry),
+            cfg.strategy,
+            placement=PlacementConfig(
+                leave_slow_slots=cfg.leave_slow_slots,
+                aging_weight=cfg.aging_weight,
+            ),
+            limits=LimitConfig(refuse_unreachable=cfg.refuse_unreachable),
+        )
+        placer.set_entries(cfg.entries)
+        info = WorkerInfo(SERVICE, SLOTS, 32.0, 64_000)
+        for worker in range(len(cfg.slowness)):
+            placer.set_worker(f"{worker}", f"zone-{worker % ZONES}", info)
+        return placer
+
+    def _make_granter(self) -> SlotGranter:
+        granter = SlotGranter(self.cfg.recall_after_ms / MS_PER_S)
+        for entry in range(self.cfg.entries):
+            granter.attach(f"{entry}")
+        granter.set_slots(SLOTS * (1 + self.cfg.prefetch))
+        return granter
+
+    def _at(self, time: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (time, next(self._order), act))
+
+    # Entries.
+
+    def _arrive(self, job: TrialJob) -> None:
+        self.report.jobs += 1
+        placer = self._placers[job.entry]
+        if placer.admit(job.spec, self._now) is not None:
+            self.report.refused += 1
+            return
+        self._jobs[job.spec.job_id] = job
+        placer.enqueue(
+            QueuedTask(
+                TaskRef(job.spec.job_id, index),
+                task,
+                SERVICE,
+                job.spec.team,
+                job.spec.deadline,
+                self._now,
+            )
+            for index, task in enumerate(job.spec.tasks)
+        )
+        self._at(job.spec.deadline, partial(self._expire, job))
+        self._turn_entry(job.entry, {})
+
+    def _expire(self, job: TrialJob) -> None:
+        if job.left and job.ended_at is None:
+            self._placers[job.entry].drop_job(job.spec.job_id)
+            job.ended_at = self._now
+            self.report.late += 1
+
+    def _at_entry(self, entry: int, worker: int, batch: Batch) -> None:
+        placer = self._placers[entry]
+        for task, status, run_s in batch.results:
+            run_ms = run_s * MS_PER_S
+            placer.observe(f"{worker}", task, status, run_ms, self._now)
+            if status is TaskStatus.DONE:
+                self._take_result(task, run_s)
+            else:
+                again = replace(
+                    task, ref=TaskRef(task.ref.job_id, task.ref.index)
+                )
+                self._at(
+                    self._now + BOUNCE_RETRY_S,
+                    partial(self._retry, entry, again),
+                )
+        placer.add_credits(f"{worker}", batch.credits)
+        batches: dict[int, Batch] = {}
+        if batch.recall:
+            returned = placer.return_credits(f"{worker}", batch.recall)
+            if returned:
+                batches[worker] = Batch(returned=returned)
+        self._turn_entry(entry, batches)
+
+    def _retry(self, entry: int, task: QueuedTask) -> None:
+        if self._jobs[task.ref.job_id].ended_at is None:
+            self._placers[entry].enqueue([task])
+            self._turn_entry(entry, {})
+
+    def _turn_entry(self, entry: int, batches: dict[int, Batch]) -> None:
+        placer = self._placers[entry]
+        for placed in placer.place(self._now):
+            self._jobs[placed.task.ref.job_id].started = True
+            batch = batches.setdefault(int(placed.worker), Batch())
+            batch.starts.append(placed.task)
+        for worker in self._announce(entry):
+            batches.setdefault(worker, Batch())
+        for worker, batch in batches.items():
+            batch.demand = placer.demand_of(f"{worker}")
+            self._send(
+                entry,
+                worker,
+                batch,
+                partial(self._at_agent, entry, worker, batch),
+            )
+
+    def _announce(self, entry: int) -> list[int]:
+        placer = self._placers[entry]
+        if not placer.uses_credits:
+            return []
+        if not self.cfg.announce_all:
+            return [int(w) for w in placer.announce(self._now)]
+        if not placer.demand(SERVICE):
+            self._told[entry].clear()
+            return []
+        untold = set(range(len(self.cfg.slowness))) - self._told[entry]
+        self._told[entry] |= untold
+        return sorted(untold)
+
+    def _take_result(self, task: QueuedTask, run_s: float) -> None:
+        job = self._jobs[task.ref.job_id]
+        self.report.tasks_done += 1
+        if job.ended_at is not None:
+            self.report.wasted["finished-job"] += 1
+            return
+        job.left -= 1
+        job.slowest_s = max(job.slowest_s, run_s)
+        if job.left:
+            return
+        job.ended_at = self._now + CLIENT_S
+        took_s = job.ended_at - job.arrives_at
+        own_s = job.slowest_s + 2 * (CLIENT_S + SAME_ZONE_S)
+        self.report.done += 1
+        self.report.work_in_time_s += sum(job.run_s)
+        self.report.ratios.append(took_s / job.ideal_s(self.cfg))
+        self.report.overheads.append(took_s / own_s)
+
+    # Agents.
+
+    def _at_agent(self, entry: int, worker: int, batch: Batch) -> None:
+        granter = self._granters[worker]
+        granter.set_demand(f"{entry}", batch.demand)
+        granter.returned(f"{entry}", batch.returned)
+        batches: dict[int, Batch] = {}
+        for task in batch.starts:
+            if self._may_start(entry, worker):
+                self._backlog[worker].append((entry, task))
+                continue
+            self.report.wasted["bounce"] += 2
+            result = (task, TaskStatus.NOT_STARTED, 0.0)
+            batches.setdefault(entry, Batch()).results.append(result)
+        self._run_backlog(worker)
+        self._turn_agent(worker, batches)
+
+    def _may_start(self, entry: int, worker: int) -> bool:
+        if self._placers[entry].uses_credits:
+            return self._granters[worker].started(f"{entry}")
+        return self._busy[worker] + len(self._backlog[worker]) < SLOTS
+
+    def _run_backlog(self, worker: int) -> None:
+        while self._backlog[worker] and self._busy[worker] < SLOTS:
+            entry, task = self._backlog[worker].pop(0)
+            self._busy[worker] += 1
+            usual_s = self._jobs[task.ref.job_id].run_s[task.ref.index]
+            run_s = usual_s * self.cfg.slowness[worker]
+            self._at(
+                self._now + run_s,
+                partial(self._end, worker, entry, task, run_s),
+            )
+
+    def _end(
+        self, worker: int, entry: int, task: QueuedTask, run_s: float
+    ) -> None:
+        self._busy[worker] -= 1
+        self._granters[worker].ended(f"{entry}")
+        self._run_backlog(worker)
+        result = (task, TaskStatus.DONE, run_s)
+        self._turn_agent(worker, {entry: Batch(results=[result])})
+
+    def _turn_agent(self, worker: int, batches: dict[int, Batch]) -> None:
+        granter = self._granters[worker]
+        if self._placers[0].uses_credits:
+            for grant in granter.turn(self._now):
+                batch = batches.setdefault(int(grant.entry), Batch())
+                batch.credits += grant.credits
+                batch.recall += grant.recall
+            turn_at = granter.next_turn_at()
+            if turn_at is not None and turn_at > self._now:
+                self._at(turn_at, partial(self._turn_agent, worker, {}))
+        for entry, batch in batches.items():
+            self._send(
+                entry,
+                worker,
+                batch,
+                partial(self._at_entry, entry, worker, batch),
+            )
+
+    def _send(
+        self, entry: int, worker: int, batch: Batch, act: Callable[[], None]
+    ) -> None:
+        self.report.messages += 1
+        if not batch.useful and self._now > 0:
+            kind = "demand"
+            if batch.credits:
+                kind = "grant"
+            if batch.recall:
+                kind = "recall"
+            if batch.returned:
+                kind = "return"
+            self.report.wasted[kind] += 1
+        same = entry % ZONES == worker % ZONES
+        delay_s = SAME_ZONE_S if same else OTHER_ZONE_S
+        self._at(self._now + delay_s, act)
+
+
+def run_trial(cfg: TrialConfig) -> Report:
+    """Run one trial."""
+    return Trial(cfg).run()
+
+
+def main() -> None:
+    """Print one line per strategy, load and seed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--strategies",
+        nargs="+",
+        default=["soonest-end", "most-credits", "random", "round-robin"],
+    )
+    parser.add_argument("--loads", nargs="+", type=float, default=[0.7])
+    parser.add_argument("--seeds", nargs="+", type=int, default=[1])
+    parser.add_argument("--seconds", type=float, default=120.0)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--prefetch", type=int, default=0)
+    parser.add_argument("--aging", type=float, default=1.0)
+    parser.add_argument("--recall-ms", type=float, default=5.0)
+    parser.add_argument("--announce-all", action="store_true")
+    parser.add_argument("--use-slow-slots", action="store_true")
+    parser.add_argument("--admit-all", action="store_true")
+    parser.add_argument("--alike", action="store_true")
+    args = parser.parse_args()
+    for strategy, load, seed in itertools.product(
+        args.strategies, args.loads, args.seeds
+    ):
+        cfg = TrialConfig(
+            strategy=strategy,
+            load=load,
+            seed=seed,
+            seconds=args.seconds,
+            entries=args.entries,
+            slowness=(1.0,) * len(SLOWNESS) if args.alike else SLOWNESS,
+            prefetch=args.prefetch,
+            aging_weight=args.aging,
+            recall_after_ms=args.recall_ms,
+            announce_all=args.announce_all,
+            leave_slow_slots=not args.use_slow_slots,
+            refuse_unreachable=not args.admit_all,
+        )
+        print(f"seed {seed} {run_trial(cfg).line()}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -279,6 +279,10 @@
                 self._place_pool(pool, now, placed)
         return placed
 
+    def announce(self, now: float) -> list[str]:
+        """Return the workers to tell of waiting tasks now."""
+        return []
+
     def take_verdicts(self) -> list[Verdict]:
         """Return the changes of workers' standing since the last call."""
         verdicts, self._verdicts = self._verdicts, []
