Join the entries: one home per job, presets from the store, an heir

Cause: an entry that is not a job's home could only answer "ask its home", no process read the preset record, and a planned stop lost its answers. Change: the entry daemon is made of the slices: local jobs, streams of agents, peers (forward, exchange, hand over), registration, the preset watcher; a preset's fields are mapped to placement and limits; a stopping entry refuses to mint. Ruled out: a second copy of the routing rules in the HTTP side; all requests go through Peers, which knows local jobs first.

--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/agent_streams.py
@@ -0,0 +1,111 @@
+"""The sessions that agents open with an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from grpclib.server import Stream
+
+from briarford.dispatch.messages import (
+    AgentAttached,
+    AgentBatchArrived,
+    AgentLost,
+    CloseSession,
+    SendToAgent,
+)
+from briarford.sessions import AgentBatch, EntryBatch
+from briarford_daemon.metrics import Metrics
+from briarford_daemon.streams import Outgoing
+
+__all__ = ["AgentStreams"]
+
+LOGGER = logging.getLogger("briarford.entry")
+
+Post = Callable[[AgentAttached | AgentBatchArrived | AgentLost], None]
+
+
+class _AgentStream:
+    """One stream from an agent, and the task that reads it."""
+
+    __slots__ = ("outgoing", "task")
+
+    def __init__(self, task: asyncio.Task[Any]) -> None:
+        self.task = task
+        self.outgoing: Outgoing[EntryBatch] = Outgoing()
+
+
+class AgentStreams:
+    """Serves the streams of agents and feeds the core from them.
+
+    :param post: gives a message to the entry's core.
+    :param metrics: counts batches.
+    """
+
+    def __init__(self, post: Post, metrics: Metrics) -> None:
+        self._post = post
+        self._metrics = metrics
+        self._streams: dict[int, _AgentStream] = {}
+        self._conns = itertools.count(1)
+
+    async def attach(self, stream: Stream[AgentBatch, EntryBatch]) -> None:
+        """Serve one stream until it ends."""
+        task = asyncio.current_task()
+        if task is None:
+            raise RuntimeError("a session is served by a task")
+        conn = next(self._conns)
+        mine = _AgentStream(task)
+        self._streams[conn] = mine
+        self._post(AgentAttached(conn))
+        writer = asyncio.create_task(mine.outgoing.write_to(stream))
+        try:
+            await self._read(conn, stream)
+        finally:
+            writer.cancel()
+            self._streams.pop(conn, None)
+            self._post(AgentLost(conn))
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await writer
+
+    def send(self, effect: SendToAgent) -> None:
+        """Write a batch to a stream, if it is still open."""
+        stream = self._streams.get(effect.conn)
+        if stream is None:
+            return
+        counts = self._metrics.messages
+        counts["batches_out"] += 1
+        counts["starts_out"] += len(effect.batch.starts)
+        counts["cancels_out"] += len(effect.batch.cancels)
+        if not effect.batch.starts:
+            counts["idle_out"] += 1
+        stream.outgoing.put(effect.batch)
+
+    def end(self, effect: CloseSession) -> None:
+        """End a stream."""
+        stream = self._streams.pop(effect.conn, None)
+        LOGGER.info("session closed", extra={"reason": effect.reason})
+        if stream is not None:
+            stream.task.cancel()
+
+    def close(self) -> None:
+        """End all streams."""
+        for stream in self._streams.values():
+            stream.task.cancel()
+
+    async def _read(
+        self, conn: int, stream: Stream[AgentBatch, EntryBatch]
+    ) -> None:
+        while True:
+            batch = await stream.recv_message()
+            if batch is None:
+                return
+            self._metrics.messages["batches_in"] += 1
+            if not batch.results:
+                self._metrics.messages["idle_in"] += 1
+            for result in batch.results:
+                self._metrics.attempts[result.status] += 1
+            self._post(AgentBatchArrived(conn, batch))
--- a/packages/briarford-daemon/src/briarford_daemon/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry.py
@@ -1,67 +1,58 @@
-"""The entry daemon: its core, its sessions with agents, its HTTP."""
+"""The entry daemon: its core, and the tasks around it."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import itertools
-import logging
 import random
 import secrets
 from functools import singledispatchmethod
 from typing import Any
 
-from grpclib.server import Server, Stream
+from grpclib.server import Server
 
 from briarford.dispatch.entry import EntryCore, EntryEffect, EntryMessage
 from briarford.dispatch.messages import (
-    AgentAttached,
-    AgentBatchArrived,
-    AgentLost,
-    CancelJob,
     CloseSession,
     Decision,
     EntriesChanged,
     JobEnded,
+    PresetAdopted,
     SendToAgent,
     StopRequested,
 )
-from briarford.homes.ids import Home, Minter
-from briarford.jobs import JobSpec
-from briarford.outcomes import (
-    Completed,
-    Failed,
-    FailureReason,
-    Outcome,
-    Refused,
-    Step,
+from briarford.homes import (
+    Exchanger,
+    Inheritance,
+    Member,
+    Minter,
+    Router,
+    ViewHolder,
+    choose_heir,
 )
+from briarford.outcomes import RefusalReason, Refused, Step
 from briarford.placement import Placer
-from briarford.sessions import AgentBatch, EntryAddress, EntryBatch
+from briarford.presets import decode_record
+from briarford.presets.effects import limit_config, placement_config
+from briarford.sessions import EntryAddress
+from briarford_daemon.agent_streams import AgentStreams
 from briarford_daemon.clock import Clock
 from briarford_daemon.driver import CoreDriver
 from briarford_daemon.identity import new_incarnation
+from briarford_daemon.local_jobs import LocalJobs
 from briarford_daemon.logs import log_decision
 from briarford_daemon.metrics import Metrics
+from briarford_daemon.peers import Peers, PeerService
+from briarford_daemon.preset_watcher import PresetWatcher
+from briarford_daemon.registration import Membership
 from briarford_daemon.settings import EntrySettings, split_address
-from briarford_daemon.streams import Outgoing
+from briarford_daemon.store_client import HttpStore
 from briarford_daemon.wire import MsgpackCodec, Sessions
 
 __all__ = ["EntryDaemon"]
 
-LOGGER = logging.getLogger("briarford.entry")
 SECRET_BYTES = 32
-ASK_HOME_AGAIN_S = 0.5
-
-
-class _AgentStream:
-    """One stream from an agent."""
-
-    __slots__ = ("outgoing", "task")
-
-    def __init__(self, task: asyncio.Task[Any]) -> None:
-        self.task = task
-        self.outgoing: Outgoing[EntryBatch] = Outgoing()
+LEAVE_WITHIN_S = 10.0
 
 
 class EntryDaemon:
@@ -75,99 +66,87 @@
         self.settings = settings
         self.clock = clock
         self.metrics = Metrics(settings.name)
-        self.incarnation = new_incarnation()
+        self.me = Member(
+            settings.name, new_incarnation(), settings.rpc, settings.zone
+        )
         rng = random.Random(secrets.randbits(64))
         self.core = EntryCore(
             settings.name,
-            self.incarnation,
+            self.me.incarnation,
             Placer(settings.name, settings.zone, rng),
             rng,
         )
-        self.rpc_address = settings.rpc
         self._minter = Minter(
-            settings.name, self.incarnation, secrets.token_bytes(SECRET_BYTES)
+            settings.name,
+            self.me.incarnation,
+            secrets.token_bytes(SECRET_BYTES),
         )
-        self._waiters: dict[str, list[asyncio.Future[Outcome]]] = {}
-        self._streams: dict[int, _AgentStream] = {}
-        self._conns = itertools.count(1)
-        self._idle = asyncio.Event()
-        self._driver: CoreDriver[EntryMessage, EntryEffect]
-        self._server: Server
+        self._view = ViewHolder(self.me)
+        self._exchanger = Exchanger(self._view, self._offer_preset)
+        self._inheritance = Inheritance(settings.name)
+        self._store = HttpStore(settings.store) if settings.store else None
+        self._members: tuple[Member, ...] = ()
+        self._watcher: PresetWatcher | None = None
 
     async def start(self) -> None:
-        """Serve agents; HTTP is served beside it."""
-        self._driver = CoreDriver(self.core, self.clock, self._perform)
-        self._server = Server([Sessions(self._attach)], codec=MsgpackCodec())
-        host, port = split_address(self.settings.rpc)
-        await self._server.start(host, port)
+        """Serve agents and other entries; HTTP is served beside it."""
+        self._driver: CoreDriver[EntryMessage, EntryEffect] = CoreDriver(
+            self.core, self.clock, self._perform
+        )
+        self._streams = AgentStreams(self._driver.post, self.metrics)
+        self.jobs = LocalJobs(
+            self.core, self._driver, self.clock, self.metrics
+        )
+        router = Router(self._view, self._minter)
+        self.peers = Peers(
+            router, self._exchanger, self._inheritance, self.jobs, self.clock
+        )
+        self._membership = Membership(
+            self._view,
+            router,
+            self.peers,
+            self._store,
+            self.clock,
+            self._note_members,
+        )
+        await self._serve()
+        self._membership.start(self.settings.peers)
+        await self._follow_presets()
 
     async def stop(self) -> None:
-        """Refuse new jobs and finish those that run."""
+        """Finish the jobs that run and hand the ended ones to a peer."""
         deadline = self.clock.now() + self.settings.stop_within_s
         self._driver.post(StopRequested(deadline))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.stop_within_s):
-                await self._wait_idle()
+                await self.jobs.wait_idle()
+        await self._bequeath(min(deadline, self.clock.now() + LEAVE_WITHIN_S))
 
     async def close(self) -> None:
         """Close at once."""
+        if self._watcher is not None:
+            await self._watcher.stop()
+        await self._membership.close()
         self._driver.close()
+        self.peers.close()
         self._server.close()
-        for stream in self._streams.values():
-            stream.task.cancel()
+        self._streams.close()
         await self._server.wait_closed()
+        if self._store is not None:
+            await self._store.close()
 
-    # For the HTTP side.
-
-    def mint(self) -> str:
+    def mint(self) -> str | Refused:
         """Return a new job id whose home is this entry."""
-        return self._minter.mint(self.clock.now())
-
-    def check_id(self, job_id: str) -> Home | Failed | Refused:
-        """Check the id of a submission that is not known here."""
-        return self._minter.check(job_id, self.clock.now())
-
-    async def submit(self, spec: JobSpec) -> Outcome:
-        """Run a job, or join it if it is known; wait for its outcome."""
-        outcome = self.submit_nowait(spec)
-        if outcome is not None:
-            return outcome
-        return await self._wait(spec.job_id)
-
-    def submit_nowait(self, spec: JobSpec) -> Outcome | None:
-        """Run a job, or join it; None if it has no outcome yet."""
-        forget_at = 0.0
-        if self.core.jobs.get(spec.job_id) is None:
-            home = self.check_id(spec.job_id)
-            if not isinstance(home, Home):
-                return home
-            if home.incarnation != self.incarnation:
-                return self._not_home(home)
-            forget_at = home.remember_until
-        outcome = self.core.submit(spec, self.clock.now(), forget_at)
-        self._driver.wake()
-        if outcome is not None:
-            self._count(outcome)
-        return outcome
-
-    def _not_home(self, home: Home) -> Failed:
-        """Answer for a job whose home this entry cannot ask."""
-        return Failed(
-            FailureReason.HOME_UNREACHABLE,
-            f"only entry '{home.entry}' knows this job; ask it",
-            Step.FORWARD,
+        if not self.core.stopping:
+            return self._minter.mint(self.clock.now())
+        return Refused(
+            RefusalReason.STOPPING,
+            "this entry is stopping; ask again, another one will answer",
+            Step.MINT,
             self.settings.name,
-            retry_at=self.clock.now() + ASK_HOME_AGAIN_S,
+            self.clock.now(),
         )
 
-    def cancel(self, job_id: str) -> None:
-        """Cancel a job if it runs here."""
-        self._driver.post(CancelJob(job_id))
-
-    def set_entries(self, entries: tuple[EntryAddress, ...]) -> None:
-        """Tell the agents which entries there are."""
-        self._driver.post(EntriesChanged(entries))
-
     def state(self) -> dict[str, float]:
         """Return what the entry holds, for metrics."""
         workers = self.core.placer.workers.values()
@@ -180,6 +159,7 @@
             "attempts_ended": self.metrics.attempts.total(),
             "workers": len(workers),
             "credits": sum(w.credits for w in workers),
+            "entries": len(self._members),
             "preset_version": self.core.preset_version,
         }
 
@@ -188,27 +168,69 @@
         return {
             "name": self.settings.name,
             "zone": self.settings.zone,
-            "incarnation": self.incarnation,
+            "incarnation": self.me.incarnation,
             "status": "stopping" if self.core.stopping else "serving",
+            "entries": [m.name for m in self._members],
             "state": self.state(),
         }
 
-    async def _wait_idle(self) -> None:
-        if not self.core.idle:
-            await self._idle.wait()
+    async def _serve(self) -> None:
+        services: list[Any] = [
+            Sessions(self._streams.attach),
+            PeerService(self.peers),
+        ]
+        self._server = Server(services, codec=MsgpackCodec())
+        host, port = split_address(self.settings.rpc)
+        await self._server.start(host, port)
 
-    async def _wait(self, job_id: str) -> Outcome:
-        fut: asyncio.Future[Outcome] = (
-            asyncio.get_running_loop().create_future()
+    def _note_members(self, members: tuple[Member, ...]) -> None:
+        self._members = members
+        entries = tuple(
+            EntryAddress(m.name, m.address, m.zone) for m in members
+        )
+        self.core.placer.set_entries(len(members))
+        self._driver.post(EntriesChanged(entries))
+
+    # Presets.
+
+    async def _follow_presets(self) -> None:
+        if self._store is None:
+            return
+        self._watcher = PresetWatcher(
+            self._store, self.clock, self._adopt_preset
         )
-        self._waiters.setdefault(job_id, []).append(fut)
-        return await fut
+        version, encoded = self._exchanger.preset
+        if version:
+            self._watcher.offer(encoded)
+        await self._watcher.start()
+
+    def _offer_preset(self, encoded: bytes) -> None:
+        """Take a record that came from another entry."""
+        if self._watcher is not None:
+            self._watcher.offer(encoded)
+
+    def _adopt_preset(self, adopted: PresetAdopted) -> None:
+        self._exchanger.adopt_preset(adopted.version, adopted.encoded)
+        record = decode_record(adopted.encoded)
+        preset = record.presets[record.active]
+        self.core.placer.configure(
+            placement_config(preset), limit_config(preset)
+        )
+        self._driver.post(adopted)
+
+    # Leaving.
 
-    def _count(self, outcome: Outcome) -> None:
-        kind = type(outcome).__name__.lower()
-        if not isinstance(outcome, Completed):
-            kind = f"{kind}:{outcome.reason}"
-        self.metrics.jobs[kind] += 1
+    async def _bequeath(self, deadline: float) -> None:
+        """Leave the view, and hand the ended jobs to the heir."""
+        if self._store is None:
+            return
+        if not await self._membership.leave(deadline):
+            return
+        heir = choose_heir(self.me, self._members)
+        handed = heir is not None and await self.peers.hand_over(
+            heir, self.me.name, self.me.incarnation, self.jobs.handed()
+        )
+        await self._membership.depart(heir if handed else None, deadline)
 
     # Effects of the core.
 
@@ -218,68 +240,17 @@
 
     @_perform.register
     def _(self, effect: SendToAgent) -> None:
-        stream = self._streams.get(effect.conn)
-        if stream is None:
-            return
-        batch = effect.batch
-        self.metrics.messages["batches_out"] += 1
-        self.metrics.messages["starts_out"] += len(batch.starts)
-        self.metrics.messages["cancels_out"] += len(batch.cancels)
-        if not batch.starts:
-            self.metrics.messages["idle_out"] += 1
-        stream.outgoing.put(batch)
+        self._streams.send(effect)
 
     @_perform.register
     def _(self, effect: CloseSession) -> None:
-        stream = self._streams.pop(effect.conn, None)
-        LOGGER.info("session closed", extra={"reason": effect.reason})
-        if stream is not None:
-            stream.task.cancel()
+        self._streams.end(effect)
 
     @_perform.register
     def _(self, effect: JobEnded) -> None:
-        self._count(effect.outcome)
-        if self.core.idle:
-            self._idle.set()
-        for fut in self._waiters.pop(effect.job_id, ()):
-            if not fut.done():
-                fut.set_result(effect.outcome)
+        self.jobs.ended(effect)
 
     @_perform.register
     def _(self, effect: Decision) -> None:
         self.metrics.decisions[effect.action] += 1
         log_decision(effect)
-
-    # Streams of agents.
-
-    async def _attach(self, stream: Stream[AgentBatch, EntryBatch]) -> None:
-        task = asyncio.current_task()
-        if task is None:
-            raise RuntimeError("a session is served by a task")
-        conn = next(self._conns)
-        mine = _AgentStream(task)
-        self._streams[conn] = mine
-        self._driver.post(AgentAttached(conn))
-        writer = asyncio.create_task(mine.outgoing.write_to(stream))
-        try:
-            await self._read(conn, stream)
-        finally:
-            writer.cancel()
-            self._streams.pop(conn, None)
-            self._driver.post(AgentLost(conn))
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await writer
-
-    async def _read(
-        self, conn: int, stream: Stream[AgentBatch, EntryBatch]
-    ) -> None:
-        while True:
-            batch = await stream.recv_message()
-            if batch is None:
-                return
-            self.metrics.messages["batches_in"] += 1
-            if not batch.results:
-                self.metrics.messages["idle_in"] += 1
-            for result in batch.results:
-                self.metrics.attempts[result.status] += 1
-            self._driver.post(AgentBatchArrived(conn, batch))
--- a/packages/briarford-daemon/src/briarford_daemon/entry_http.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry_http.py
@@ -4,8 +4,7 @@
 
 from blacksheep import Application, Request, Response
 
-from briarford.homes.ids import Home
-from briarford.outcomes import Outcome, RefusalReason, Refused, Step
+from briarford.outcomes import Outcome, Refused
 from briarford_daemon.entry import EntryDaemon
 from briarford_daemon.exceptions import RequestError
 from briarford_daemon.http_routes import (
@@ -30,6 +29,7 @@
 __all__ = ["build_entry_app"]
 
 MAX_MINT = 1000
+ANSWER_GRACE_S = 1.0
 
 
 class _Routes:
@@ -40,48 +40,47 @@
 
     async def mint(self, req: Request) -> Response:
         count = _read_count(req)
-        ids = [self._entry.mint() for _ in range(count)]
+        ids: list[str] = []
+        for _ in range(count):
+            minted = self._entry.mint()
+            if isinstance(minted, Refused):
+                return self._answer("", minted)
+            ids.append(minted)
         return json_response(201, {"ids": ids})
 
     async def submit(self, req: Request) -> Response:
         job_id = path_param(req, "id")
-        now = self._entry.clock.now()
-        deadline = read_deadline(req, now)
+        deadline = read_deadline(req, self._entry.clock.now())
         team = read_team(req)
         body = await read_body(req, JobBody)
         spec = read_job(job_id, body, team, deadline)
-        if not _wants_async(req):
-            return self._answer(job_id, await self._entry.submit(spec))
-        outcome = self._entry.submit_nowait(spec)
-        if outcome is not None:
-            return self._answer(job_id, outcome)
-        return self._running(job_id)
+        wait_until = 0.0 if _wants_async(req) else deadline + ANSWER_GRACE_S
+        outcome = await self._entry.peers.submit(spec, wait_until)
+        return self._answer(job_id, outcome)
 
     async def single(self, req: Request) -> Response:
-        now = self._entry.clock.now()
-        deadline = read_deadline(req, now)
+        deadline = read_deadline(req, self._entry.clock.now())
         team = read_team(req)
         body = await read_body(req, SingleBody)
         job_id = self._entry.mint()
+        if isinstance(job_id, Refused):
+            return self._answer("", job_id)
         service = path_param(req, "service")
         spec = read_single(job_id, service, body, team, deadline)
-        return self._answer(job_id, await self._entry.submit(spec))
+        outcome = await self._entry.peers.submit(
+            spec, deadline + ANSWER_GRACE_S
+        )
+        return self._answer(job_id, outcome)
 
     async def read(self, req: Request) -> Response:
         job_id = path_param(req, "id")
-        job = self._entry.core.jobs.get(job_id)
-        if job is None:
-            return self._answer(job_id, self._unknown(job_id))
-        if job.outcome is None:
-            return self._running(job_id)
-        return self._answer(job_id, job.outcome)
+        outcome = await self._entry.peers.read(job_id, 0.0)
+        return self._answer(job_id, outcome)
 
     async def cancel(self, req: Request) -> Response:
         job_id = path_param(req, "id")
-        if self._entry.core.jobs.get(job_id) is None:
-            return self._answer(job_id, self._unknown(job_id))
-        self._entry.cancel(job_id)
-        return self._running(job_id)
+        outcome = await self._entry.peers.cancel(job_id)
+        return self._answer(job_id, outcome)
 
     async def status(self, req: Request) -> Response:
         return json_response(200, self._entry.status())
@@ -97,25 +96,13 @@
             self._entry.metrics.render(self._entry.state())
         )
 
-    def _answer(self, job_id: str, outcome: Outcome) -> Response:
-        return answer(job_id, outcome, self._entry.clock.now())
-
-    def _running(self, job_id: str) -> Response:
+    def _answer(self, job_id: str, outcome: Outcome | None) -> Response:
+        if outcome is not None:
+            return answer(job_id, outcome, self._entry.clock.now())
         response = json_response(202, {"id": job_id, "outcome": "running"})
         response.add_header(b"Location", f"/v1/jobs/{job_id}".encode())
         return response
 
-    def _unknown(self, job_id: str) -> Outcome:
-        checked = self._entry.check_id(job_id)
-        if not isinstance(checked, Home):
-            return checked
-        return Refused(
-            RefusalReason.UNKNOWN_JOB,
-            "no job was submitted under this id",
-            Step.ANSWER_READ,
-            self._entry.settings.name,
-        )
-
 
 def build_entry_app(entry: EntryDaemon) -> Application:
     """Return the HTTP application of an entry."""
--- a/packages/briarford/src/briarford/homes/exchange.py
+++ b/packages/briarford/src/briarford/homes/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from briarford.homes.holder import ViewHolder
 from briarford.homes.messages import (
@@ -19,12 +20,24 @@
     """One entry's side of the exchange with all others.
 
     :param holder: the view of this entry.
+    :param preset_came: is called with a newer preset record of a peer.
     """
 
-    __slots__ = ("_holder", "_peers", "_preset", "_preset_version")
-
-    def __init__(self, holder: ViewHolder) -> None:
+    __slots__ = (
+        "_holder",
+        "_peers",
+        "_preset",
+        "_preset_came",
+        "_preset_version",
+    )
+
+    def __init__(
+        self,
+        holder: ViewHolder,
+        preset_came: Callable[[bytes], None] | None = None,
+    ) -> None:
         self._holder = holder
+        self._preset_came = preset_came
         self._peers: dict[str, PeerState] = {}
         self._preset_version = 0
         self._preset = b""
@@ -82,8 +95,10 @@
         self._peers[state.sender.address] = state
         if view is not None:
             self._holder.adopt(view)
-        if preset:
-            self.adopt_preset(state.preset_version, preset)
+        if not preset or not self.adopt_preset(state.preset_version, preset):
+            return
+        if self._preset_came is not None:
+            self._preset_came(preset)
 
     def _lacking(self, peer: PeerState) -> tuple[ViewRecord | None, bytes]:
         record = self._holder.record
--- a/packages/briarford/src/briarford/jobs/state.py
+++ b/packages/briarford/src/briarford/jobs/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from briarford.jobs.messages import JobSpec, TaskRef
@@ -124,6 +125,10 @@
         """Return a job that is remembered."""
         return self._jobs.get(job_id)
 
+    def ended(self) -> Iterator[Job]:
+        """Return the jobs that have an outcome and are remembered."""
+        return (j for j in self._jobs.values() if j.outcome is not None)
+
     def running_ids(self) -> list[str]:
         """Return the ids of the jobs that have no outcome yet."""
         return [j.job_id for j in self._jobs.values() if j.outcome is None]
