--- /dev/null
+++ b/packages/briarford/tests/test_timers.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+from briarford.timers import Timers
+
+
+def test_cleared_deadlines_are_swept_out():
+    timers: Timers[int] = Timers()
+    for key in range(1000):
+        timers.set(key, 60.0)
+        timers.clear(key)
+    assert len(timers) == 0
+    assert timers.heap_size < 100
+
+
+def test_a_key_that_is_set_anew_has_one_entry():
+    timers: Timers[str] = Timers()
+    for turn in range(200):
+        now = float(turn)
+        timers.set("key", now + 5.0)
+        timers.clear("key")
+        timers.set("key", now + 2.0)
+        timers.set("key", now + 9.0)
+        assert timers.due(now) == []
+    assert timers.heap_size < 100
+    assert timers.due(300.0) == ["key"]
+    assert timers.next_deadline() is None
+
+
+def test_deadlines_come_due_in_order_and_once():
+    timers: Timers[str] = Timers()
+    timers.set("late", 3.0)
+    timers.set("early", 5.0)
+    timers.set("early", 1.0)
+    assert timers.due(0.5) == []
+    assert timers.due(4.0) == ["early", "late"]
+    assert timers.due(9.0) == []
