Give up jobs without workers, pause denied tasks, cancel where they run

A service without workers for reattach_s now ends the jobs that wait for it: refused with when to come back if nothing ran, else failed. Ruled out: at once, which would fail jobs over each short reconnect. - A task that came back un-started was sent again in the same turn, without end: one per round trip. From the second denial on, it rests 5 ms, doubled up to 1 s. - Ending a job looked up each of its attempts at each agent. A completed job has nothing queued, so the queues are not rebuilt for it. - A cancel for an agent without a session was dropped; the next welcome now carries it. - SubmitJob is gone: a refusal of a second body under a known id ended as JobEnded of that id, so the first client would have been told that its running job did not run. Callers use submit(), which answers its caller.

--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -18,12 +18,12 @@
     PresetAdopted,
     SendToAgent,
     StopRequested,
-    SubmitJob,
     Tick,
 )
 from briarford.jobs.messages import JobSpec, TaskRef
 from briarford.jobs.state import Job, JobTable
 from briarford.outcomes import (
+    Completed,
     Failed,
     FailureReason,
     Outcome,
@@ -56,11 +56,18 @@
     | EntriesChanged
     | PresetAdopted
     | StopRequested
-    | SubmitJob
     | Tick
 )
 EntryEffect = SendToAgent | CloseSession | JobEnded | Decision
 
+JOB_DEADLINE = "job-deadline"
+JOB_FORGET = "job-forget"
+TASK_RETRY = "task-retry"
+AGENT_LOST = "agent-lost"
+SERVICE_LOST = "service-lost"
+SILENCE = "silence"
+HEARTBEAT = "heartbeat"
+
 
 @dataclass(slots=True, frozen=True)
 class EntryConfig:
@@ -73,6 +80,9 @@
     :param remember_s: how long an ended job is remembered at least.
     :param answer_budget_bytes: memory for answers of ended jobs.
     :param max_attempts: attempts at one task of an idempotent request.
+    :param retry_min_s: pause before a task is queued again that came back
+        un-started for the second time; it doubles each time.
+    :param retry_max_s: longest such pause.
     """
 
     heartbeat_s: float = 0.5
@@ -81,6 +91,8 @@
     remember_s: float = 900.0
     answer_budget_bytes: int = 64_000_000
     max_attempts: int = 3
+    retry_min_s: float = 0.005
+    retry_max_s: float = 1.0
 
 
 @dataclass(slots=True)
@@ -115,7 +127,7 @@
     """Key of a deadline: what it is for, and of which job or agent."""
 
     kind: str
-    key: str | int
+    key: str | int | TaskRef
 
 
 class EntryCore:
@@ -148,7 +160,7 @@
         self._cfg = cfg or EntryConfig()
         self._agents: dict[str, _Agent] = {}
         self._sessions: dict[int, _Session] = {}
-        self._dirty: set[int] = set()
+        self._dirty: dict[int, None] = {}
         self._timers: Timers[_Timer] = Timers()
         self._effects: list[EntryEffect] = []
 
@@ -184,12 +196,6 @@
         self._accept(spec, now, forget_at)
         return None
 
-    @receive.register
-    def _(self, message: SubmitJob, now: float) -> None:
-        outcome = self.submit(message.spec, now)
-        if outcome is not None:
-            self._effects.append(JobEnded(message.spec.job_id, outcome))
-
     @receive.register
     def _(self, message: CancelJob, now: float) -> None:
         job = self.jobs.get(message.job_id)
@@ -322,7 +328,7 @@
     def _accept(self, spec: JobSpec, now: float, forget_at: float) -> None:
         keep_until = spec.deadline + self._cfg.remember_s
         self.jobs.add(spec, max(forget_at, keep_until))
-        self._timers.set(_Timer("job-deadline", spec.job_id), spec.deadline)
+        self._timers.set(_Timer(JOB_DEADLINE, spec.job_id), spec.deadline)
         self.placer.enqueue(
             QueuedTask(
                 ref=TaskRef(spec.job_id, index),
@@ -334,6 +340,7 @@
             )
             for index, task in enumerate(spec.tasks)
         )
+        self._watch_service(spec.service, now)
         self._decide(
             "job-admitted",
             "capacity",
@@ -343,27 +350,28 @@
         )
 
     def _end(self, job: Job, outcome: Outcome, now: float) -> None:
-        self.placer.drop_job(job.job_id)
+        if not isinstance(outcome, Completed):
+            self.placer.drop_job(job.job_id)
+        for ref in job.resting:
+            self._timers.clear(_Timer(TASK_RETRY, ref))
         self._cancel_outstanding(job)
         self.jobs.end(job, outcome)
-        self._timers.clear(_Timer("job-deadline", job.job_id))
+        self._timers.clear(_Timer(JOB_DEADLINE, job.job_id))
         forget_at = max(job.forget_at, now)
-        self._timers.set(_Timer("job-forget", job.job_id), forget_at)
+        self._timers.set(_Timer(JOB_FORGET, job.job_id), forget_at)
         self._effects.append(JobEnded(job.job_id, outcome))
 
     def _cancel_outstanding(self, job: Job) -> None:
-        for agent in self._agents.values():
-            session = self._session_of(agent)
-            if session is None:
-                continue
-            refs = [r for r in job.sent if r in agent.outstanding]
-            if refs:
-                session.outbox.cancels += refs
+        for ref, worker in job.sent.items():
+            session = self._session_of(self._agents[worker])
+            if session is not None:
+                session.outbox.cancels.append(ref)
                 self._mark(session)
 
     def _requeue(
         self, job: Job, task: QueuedTask, now: float, reason: str
     ) -> None:
+        """Queue the next attempt at a task, after a growing pause."""
         ref = job.next_attempt(task.ref.index)
         again = QueuedTask(
             ref=ref,
@@ -373,7 +381,13 @@
             deadline=task.deadline,
             queued_at=task.queued_at,
         )
-        self.placer.enqueue([again])
+        pause_s = self._retry_pause(job.denials.get(ref.index, 0))
+        if pause_s:
+            job.resting[ref] = again
+            self._timers.set(_Timer(TASK_RETRY, ref), now + pause_s)
+        else:
+            self.placer.enqueue([again])
+        self._watch_service(task.service, now)
         self._decide(
             "task-requeued",
             reason,
@@ -382,6 +396,51 @@
             attempt=ref.attempt,
         )
 
+    def _retry_pause(self, denials: int) -> float:
+        if denials < 2:
+            return 0.0
+        doubled = self._cfg.retry_min_s * 2.0 ** min(denials - 2, 16)
+        return min(doubled, self._cfg.retry_max_s)
+
+    def _end_rest(self, ref: TaskRef) -> None:
+        job = self.jobs.get(ref.job_id)
+        task = job.resting.pop(ref, None) if job is not None else None
+        if task is not None:
+            self.placer.enqueue([task])
+
+    # Services without workers.
+
+    def _watch_service(self, service: str, now: float) -> None:
+        """Give a service without workers a while to get one."""
+        timer = _Timer(SERVICE_LOST, service)
+        if self._has_worker(service) or timer in self._timers:
+            return
+        self._timers.set(timer, now + self._cfg.reattach_s)
+
+    def _has_worker(self, service: str) -> bool:
+        return any(
+            w.service == service and not w.leaving
+            for w in self.placer.workers.values()
+        )
+
+    def _give_up_service(self, service: str, now: float) -> None:
+        """End the jobs that wait for workers which are gone."""
+        if self._has_worker(service):
+            return
+        for job in self.jobs.running_jobs():
+            spec = job.spec
+            if spec is None or spec.service != service or not job.waiting:
+                continue
+            outcome = job.given_up(
+                RefusalReason.WORKERS_LOST,
+                FailureReason.WORKER_LOST,
+                f"no worker provides service '{service}' any more",
+                Step.QUEUE,
+                self.name,
+                now + self._cfg.reattach_s,
+            )
+            self._end(job, outcome, now)
+
     # Attempts.
 
     def _start(self, placed: Placed, now: float) -> None:
@@ -392,7 +451,7 @@
             raise AssertionError(f"no session or job for {placed}")
         task = placed.task
         agent.outstanding[task.ref] = task
-        job.sent.add(task.ref)
+        job.sent[task.ref] = agent.name
         session.outbox.starts.append(
             StartTask(task.ref, task.deadline, task.spec.payload)
         )
@@ -415,14 +474,17 @@
             agent.name, task, result.status, result.run_ms, now
         )
         job = self.jobs.get(result.ref.job_id)
-        if job is None or not job.current(result.ref):
+        if job is None:
+            return
+        started = result.status is not TaskStatus.NOT_STARTED
+        job.settle(result.ref, started)
+        if not job.current(result.ref):
             return
         if result.status is TaskStatus.DONE:
             if job.take_result(result.ref, result.payload):
                 self._end(job, job.completed(), now)
             return
         if result.status is TaskStatus.NOT_STARTED:
-            job.sent.discard(result.ref)
             self._requeue(job, task, now, "not started")
             return
         self._retry_or_fail(job, task, agent, result, now)
@@ -466,12 +528,14 @@
             session.service = batch.worker.service
             self.placer.set_worker(agent.name, session.zone, batch.worker)
         self.placer.set_leaving(agent.name, batch.leaving)
+        if batch.leaving and session.service:
+            self._watch_service(session.service, now)
         session.preset_version = batch.preset_version
         for report in batch.reports:
             self._take_report(agent, report, now)
         for result in batch.results:
             session.outbox.acks.append(result.ref)
-            self._dirty.add(session.conn)
+            self._dirty[session.conn] = None
             self._settle(agent, result, now)
         if batch.credits:
             self.placer.add_credits(agent.name, batch.credits)
@@ -510,16 +574,21 @@
         agent.conn = session.conn
         session.agent = agent.name
         session.zone = hello.zone
-        self._timers.clear(_Timer("agent-lost", agent.name))
+        self._timers.clear(_Timer(AGENT_LOST, agent.name))
         session.outbox.welcome = Welcome(
             self.name, self.incarnation, tuple(agent.outstanding)
         )
+        session.outbox.cancels += filter(self._unwanted, agent.outstanding)
         session.outbox.entries = self._entries
         self._mark(session)
         self._offer_preset(session)
         self._arm_heartbeat(session)
         self._decide("agent-attached", "hello", worker=agent.name)
 
+    def _unwanted(self, ref: TaskRef) -> bool:
+        job = self.jobs.get(ref.job_id)
+        return job is None or job.outcome is not None
+
     def _restart(self, agent: _Agent, hello: Hello, now: float) -> None:
         """Give up what an earlier incarnation of an agent had."""
         old = self._session_of(agent)
@@ -529,6 +598,11 @@
         agent.incarnation = hello.incarnation
         agent.session = 0
 
+    def _give_up_agent(self, name: str, now: float) -> None:
+        agent = self._agents[name]
+        self._lose_outstanding(agent, "its agent did not come back", now)
+        del self._agents[name]
+
     def _lose_outstanding(
         self, agent: _Agent, detail: str, now: float
     ) -> None:
@@ -542,16 +616,18 @@
 
     def _drop_session(self, session: _Session, now: float) -> None:
         del self._sessions[session.conn]
-        self._dirty.discard(session.conn)
-        self._timers.clear(_Timer("silence", session.conn))
-        self._timers.clear(_Timer("heartbeat", session.conn))
+        self._dirty.pop(session.conn, None)
+        self._timers.clear(_Timer(SILENCE, session.conn))
+        self._timers.clear(_Timer(HEARTBEAT, session.conn))
         agent = self._agents.get(session.agent)
         if agent is None or agent.conn != session.conn:
             return
         agent.conn = None
         self.placer.remove_worker(agent.name)
         give_up_at = now + self._cfg.reattach_s
-        self._timers.set(_Timer("agent-lost", agent.name), give_up_at)
+        self._timers.set(_Timer(AGENT_LOST, agent.name), give_up_at)
+        if session.service:
+            self._watch_service(session.service, now)
         self._decide("agent-detached", "session ended", worker=agent.name)
 
     def _session_of(self, agent: _Agent) -> _Session | None:
@@ -566,7 +642,7 @@
 
     def _mark(self, session: _Session) -> None:
         session.outbox.urgent = True
-        self._dirty.add(session.conn)
+        self._dirty[session.conn] = None
 
     def _announce_demand(self) -> None:
         """Tell agents when tasks begin to wait for their slots."""
@@ -593,29 +669,32 @@
 
     def _arm_silence(self, session: _Session) -> None:
         deadline = session.heard_at + self._cfg.silence_s
-        self._timers.set(_Timer("silence", session.conn), deadline)
+        self._timers.set(_Timer(SILENCE, session.conn), deadline)
 
     def _arm_heartbeat(self, session: _Session) -> None:
         deadline = session.sent_at + self._cfg.heartbeat_s
-        self._timers.set(_Timer("heartbeat", session.conn), deadline)
+        self._timers.set(_Timer(HEARTBEAT, session.conn), deadline)
 
     def _expire(self, timer: _Timer, now: float) -> None:
         key = timer.key
-        if isinstance(key, int):
+        if isinstance(key, TaskRef):
+            self._end_rest(key)
+        elif isinstance(key, int):
             self._expire_session(timer.kind, key, now)
-        elif timer.kind == "job-deadline":
+        elif timer.kind == JOB_DEADLINE:
             self._expire_job(key, now)
-        elif timer.kind == "job-forget":
+        elif timer.kind == JOB_FORGET:
             self.jobs.forget(key)
-        elif timer.kind == "agent-lost":
-            agent = self._agents.pop(key)
-            self._lose_outstanding(agent, "its agent did not come back", now)
+        elif timer.kind == SERVICE_LOST:
+            self._give_up_service(key, now)
+        elif timer.kind == AGENT_LOST:
+            self._give_up_agent(key, now)
 
     def _expire_session(self, kind: str, conn: int, now: float) -> None:
         session = self._sessions.get(conn)
         if session is None:
             return
-        if kind == "silence":
+        if kind == SILENCE:
             self._close(session, "the agent is silent", now)
             return
         self._mark(session)
--- a/packages/briarford/src/briarford/dispatch/messages.py
+++ b/packages/briarford/src/briarford/dispatch/messages.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from briarford.jobs.messages import JobSpec, TaskRef
+from briarford.jobs.messages import TaskRef
 from briarford.outcomes import Outcome
 from briarford.sessions.messages import (
     AgentBatch,
@@ -40,18 +40,10 @@
     "SendToAgent",
     "SendToEntry",
     "StopRequested",
-    "SubmitJob",
     "Tick",
 ]
 
 
-@dataclass(slots=True, frozen=True)
-class SubmitJob:
-    """To an entry: run this job, or join it if it is known."""
-
-    spec: JobSpec
-
-
 @dataclass(slots=True, frozen=True)
 class CancelJob:
     """To an entry: the answer of this job is no longer wanted."""
--- a/packages/briarford/src/briarford/jobs/state.py
+++ b/packages/briarford/src/briarford/jobs/state.py
@@ -14,6 +14,7 @@
     Refused,
     Step,
 )
+from briarford.placement.messages import QueuedTask
 
 __all__ = ["Job", "JobTable"]
 
@@ -30,7 +31,10 @@
     :param results: one JSON document per task; None where it is missing.
     :param missing: how many results are missing.
     :param attempts: the current attempt of each task.
-    :param sent: attempts that were sent and not proved un-started.
+    :param sent: attempts that have no result yet, and the worker of each.
+    :param resting: attempts that wait before they are queued again.
+    :param denials: how often tasks of the job came back un-started.
+    :param ran: whether an attempt ended in another way than un-started.
     :param outcome: None while the job runs.
     """
 
@@ -42,7 +46,10 @@
     results: list[bytes | None]
     missing: int
     attempts: list[int]
-    sent: set[TaskRef] = field(default_factory=set)
+    sent: dict[TaskRef, str] = field(default_factory=dict)
+    resting: dict[TaskRef, QueuedTask] = field(default_factory=dict)
+    denials: dict[int, int] = field(default_factory=dict)
+    ran: bool = False
     outcome: Outcome | None = None
 
     def current(self, ref: TaskRef) -> bool:
@@ -53,6 +60,22 @@
             return False
         return self.attempts[ref.index] == ref.attempt
 
+    @property
+    def waiting(self) -> int:
+        """How many tasks have neither a result nor an attempt under way."""
+        return self.missing - len(self.sent)
+
+    def settle(self, ref: TaskRef, started: bool) -> None:
+        """Note that an attempt has ended.
+
+        :param started: False only with proof that it was not started.
+        """
+        self.sent.pop(ref, None)
+        if started:
+            self.ran = True
+            return
+        self.denials[ref.index] = self.denials.get(ref.index, 0) + 1
+
     def take_result(self, ref: TaskRef, payload: bytes) -> bool:
         """Store the result of a task.
 
@@ -86,7 +109,7 @@
         retry_at: float | None = None,
     ) -> Outcome:
         """Return a refusal if no task can have run, else a failure."""
-        if self.sent or self.missing < len(self.results):
+        if self.sent or self.ran:
             return Failed(failure, detail, step, peer)
         return Refused(refusal, detail, step, peer, retry_at)
 
@@ -124,9 +147,9 @@
         """Return a job that is remembered."""
         return self._jobs.get(job_id)
 
-    def running_ids(self) -> list[str]:
-        """Return the ids of the jobs that have no outcome yet."""
-        return [j.job_id for j in self._jobs.values() if j.outcome is None]
+    def running_jobs(self) -> list[Job]:
+        """Return the jobs that have no outcome yet."""
+        return [j for j in self._jobs.values() if j.outcome is None]
 
     def add(self, spec: JobSpec, forget_at: float) -> Job:
         """Add a job that is not yet known."""
@@ -156,7 +179,9 @@
         job.spec = None
         job.results = []
         job.attempts = []
-        job.sent = set()
+        job.sent = {}
+        job.resting = {}
+        job.denials = {}
         self._running -= 1
         if isinstance(outcome, Completed):
             self._hold(job.job_id, sum(map(len, outcome.results)))
--- /dev/null
+++ b/packages/briarford/tests/dispatch/test_entry_recovery.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from briarford.dispatch import EntryCore
+from briarford.dispatch.messages import (
+    AgentAttached,
+    AgentBatchArrived,
+    AgentLost,
+    CancelJob,
+    JobEnded,
+    SendToAgent,
+    Tick,
+)
+from briarford.jobs import JobSpec, TaskSpec
+from briarford.outcomes import Failed, RefusalReason, Refused
+from briarford.placement import Placer
+from briarford.sessions import AgentBatch, Hello, TaskResult, WorkerInfo
+from briarford.sessions.messages import TaskStatus
+
+NOW = 1000.0
+
+
+class Driver:
+    """Feeds an entry core and keeps its effects."""
+
+    def __init__(self) -> None:
+        rng = random.Random(0)
+        placer = Placer("e", "zone", rng)
+        self.core = EntryCore("e", "e-1", placer, rng)
+        self.effects: list[object] = []
+        self.seqs: dict[int, int] = {}
+
+    def take(self, message: object, now: float = NOW) -> list[object]:
+        self.core.receive(message, now)
+        new = self.core.turn(now)
+        self.effects += new
+        return new
+
+    def batch(self, conn: int, now: float = NOW, **fields: object):
+        self.seqs[conn] = self.seqs.get(conn, 0) + 1
+        batch = AgentBatch(self.seqs[conn], **fields)
+        return self.take(AgentBatchArrived(conn, batch), now)
+
+    def attach(self, conn: int, agent: str, slots: int, now: float = NOW):
+        self.core.receive(AgentAttached(conn), now)
+        hello = Hello(agent, f"{agent}-1", conn, "zone")
+        worker = WorkerInfo("desk", slots, 8.0, 8000)
+        return self.batch(conn, now, hello=hello, worker=worker, credits=slots)
+
+    def submit(self, job_id: str, tasks: int, now: float = NOW) -> None:
+        spec = JobSpec(
+            job_id, "desk", "team", now + 60.0, (TaskSpec(b"1"),) * tasks
+        )
+        assert self.core.submit(spec, now) is None
+        self.take(Tick(), now)
+
+
+def sent(effects: list[object], kind: str) -> list[object]:
+    batches = [e.batch for e in effects if isinstance(e, SendToAgent)]
+    return [item for batch in batches for item in getattr(batch, kind)]
+
+
+def outcomes(effects: list[object]) -> list[object]:
+    return [e.outcome for e in effects if isinstance(e, JobEnded)]
+
+
+def test_cancel_reaches_an_agent_that_was_away():
+    entry = Driver()
+    entry.attach(1, "a", 2)
+    entry.submit("job", 2)
+    entry.take(AgentLost(1))
+    entry.take(CancelJob("job"))
+    effects = entry.attach(2, "a", 0, NOW + 1.0)
+    assert [r.index for r in sent(effects, "cancels")] == [0, 1]
+
+
+def test_cancels_go_only_where_tasks_run():
+    entry = Driver()
+    for conn in range(1, 5):
+        entry.attach(conn, f"a{conn}", 1 if conn < 3 else 0)
+    entry.submit("job", 2)
+    effects = entry.take(CancelJob("job"))
+    told = {
+        e.conn
+        for e in effects
+        if isinstance(e, SendToAgent) and e.batch.cancels
+    }
+    assert told == {1, 2}
+
+
+def test_a_task_that_is_denied_again_and_again_is_not_sent_in_a_loop():
+    entry = Driver()
+    entry.attach(1, "a", 1)
+    entry.submit("job", 1)
+    starts = 0
+    now = NOW
+    while now < NOW + 2.0:
+        new = sent(entry.effects, "starts")
+        entry.effects.clear()
+        starts += len(new)
+        denied = tuple(TaskResult(s.ref, TaskStatus.NOT_STARTED) for s in new)
+        entry.batch(1, now, results=denied, credits=len(new))
+        now += 0.001
+    assert 3 < starts < 15
+
+
+@pytest.mark.parametrize(
+    ("tasks", "slots", "kind"),
+    [
+        pytest.param(1, 0, Refused, id="nothing-sent"),
+        pytest.param(2, 1, Failed, id="one-sent"),
+    ],
+)
+def test_job_without_workers_is_given_up_before_its_deadline(
+    tasks, slots, kind
+):
+    entry = Driver()
+    entry.attach(1, "a", slots)
+    entry.submit("job", tasks)
+    entry.take(AgentLost(1))
+    assert outcomes(entry.take(Tick(), NOW + 4.9)) == []
+    [outcome] = outcomes(entry.take(Tick(), NOW + 5.1))
+    assert isinstance(outcome, kind)
+    if kind is Refused:
+        assert outcome.reason is RefusalReason.WORKERS_LOST
+        assert outcome.retry_at > NOW
+
+
+def test_job_goes_on_when_a_worker_comes_back_in_time():
+    entry = Driver()
+    entry.attach(1, "a", 0)
+    entry.submit("job", 1)
+    entry.take(AgentLost(1))
+    effects = entry.attach(2, "a", 1, NOW + 3.0)
+    assert len(sent(effects, "starts")) == 1
+    assert outcomes(entry.take(Tick(), NOW + 5.1)) == []
