Deny only attempts that an agent has no record of, and stop without cuts

- An agent that dropped the results of an unlisted entry (after 30 s), or was asked for an attempt that ran for an earlier incarnation, answered 'not started' for a task that had begun: a second start.
It now keeps a record of its starts until 60 s past their deadline and answers LOST.
- A stopping agent ended while entries held credits: a start on its way was lost and its job failed.
It now waits until the credits are back, and up to 5 s for an entry that it cannot reach to take results.
- After a pause, starts that waited in the socket were run before the lapsed announcement was noticed.
The announcement is checked at each start.
- A worker that refuses connections attracted tasks until its announcement lapsed (3 s).
- No heartbeat was armed if the welcome took over 0.5 s and nothing else was to be sent, so the entry ended the session.
- Sessions of an entry that is listed again went on from 1 and were refused as old; they are now numbered per agent.
- Unmet demand made an agent turn once per millisecond for as long as it lasted; a recall that is due is handled in the turn itself.

--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -70,7 +70,8 @@
 BACKEND = "backend"
 STOP = "stop"
 GRANT = "grant"
-MIN_WAIT_S = 0.001
+RECORD = "record"
+RECORD_GRACE_S = 60.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +83,8 @@
     :param redial_min_s: pause before a second try to reach an entry.
     :param redial_max_s: longest pause between two tries.
     :param keep_results_s: how long results wait for an entry that is gone.
+    :param deliver_s: how long a stopping agent tries to deliver results to
+        an entry that it cannot reach.
     """
 
     heartbeat_s: float = 0.5
@@ -89,6 +92,7 @@
     redial_min_s: float = 0.1
     redial_max_s: float = 2.0
     keep_results_s: float = 30.0
+    deliver_s: float = 5.0
 
 
 @dataclass(slots=True)
@@ -147,7 +151,10 @@
         self._granter = SlotGranter()
         self._links: dict[str, _Link] = {}
         self._calls: dict[TaskRef, str] = {}
-        self._dirty: set[str] = set()
+        self._started: dict[TaskRef, float] = {}
+        self._announced_until = 0.0
+        self._last_session = 0
+        self._dirty: dict[str, None] = {}
         self._timers: Timers[_Timer] = Timers()
         self._effects: list[AgentEffect] = []
         self._stopped = False
@@ -166,6 +173,7 @@
     @receive.register
     def _(self, message: BackendAnnounced, now: float) -> None:
         self._timers.set(_Timer(BACKEND), message.expires_at)
+        self._announced_until = message.expires_at
         if self.stopping:
             return
         if message.worker == self.worker and not self.leaving:
@@ -222,6 +230,8 @@
         if address is None:
             return
         self._granter.ended(address)
+        if message.result.status is TaskStatus.NOT_STARTED:
+            self._wait_for_announcement(now)
         link = self._links.get(address)
         if link is None or ref not in link.running:
             return
@@ -257,13 +267,11 @@
             link.outbox.credits += grant.credits
             link.outbox.recall += grant.recall
             self._mark(link)
-        grant_at = self._granter.next_turn_at()
-        if grant_at is not None:
-            self._timers.set(_Timer(GRANT), max(grant_at, now + MIN_WAIT_S))
+        self._arm_grant(now)
         for address in self._dirty:
             self._flush(address, now)
         self._dirty.clear()
-        self._check_stopped()
+        self._check_stopped(now)
         effects = self._effects
         self._effects = []
         return effects
@@ -281,7 +289,7 @@
 
     def _take_batch(self, link: _Link, batch: EntryBatch, now: float) -> None:
         if batch.welcome is not None:
-            self._welcome(link, batch.welcome)
+            self._welcome(link, batch.welcome, now)
         if not link.welcomed:
             return
         address = link.entry.address
@@ -290,6 +298,7 @@
             self._granter.returned(address, batch.returned)
         for ref in batch.acks:
             link.results.pop(ref, None)
+            self._started.pop(ref, None)
         for start in batch.starts:
             self._start(link, start, now)
         for ref in batch.cancels:
@@ -299,7 +308,7 @@
         if batch.preset:
             self._effects.append(PresetAdopted(0, batch.preset))
 
-    def _welcome(self, link: _Link, welcome: Welcome) -> None:
+    def _welcome(self, link: _Link, welcome: Welcome, now: float) -> None:
         if link.incarnation != welcome.incarnation:
             link.running.clear()
             link.results.clear()
@@ -307,22 +316,37 @@
         link.welcomed = True
         link.failures = 0
         self._granter.attach(link.entry.address)
+        self._arm(link, HEARTBEAT, now + self._cfg.heartbeat_s)
         for ref in welcome.outstanding:
-            if ref in link.results or ref in link.running:
-                continue
-            link.outbox.reports.append(TaskReport(ref, TaskStatus.NOT_STARTED))
+            self._answer_for(link, ref)
         awaited = set(welcome.outstanding)
-        link.results = {
-            r: result for r, result in link.results.items() if r in awaited
-        }
+        for ref in [r for r in link.results if r not in awaited]:
+            del link.results[ref]
+            self._started.pop(ref, None)
         link.outbox.results += link.results.values()
         if link.outbox.reports or link.outbox.results:
             self._mark(link)
 
+    def _answer_for(self, link: _Link, ref: TaskRef) -> None:
+        """Account for an attempt that the entry counts as outstanding."""
+        if ref in link.results or ref in link.running:
+            return
+        if ref in self._started:
+            link.results[ref] = TaskResult(
+                ref, TaskStatus.LOST, detail="its result is no longer kept"
+            )
+            return
+        link.outbox.reports.append(TaskReport(ref, TaskStatus.NOT_STARTED))
+
     def _start(self, link: _Link, start: StartTask, now: float) -> None:
         ref = start.ref
         if ref in link.running or ref in link.results:
             return
+        if ref in self._started:
+            self._granter.returned(link.entry.address, 1)
+            detail = "the attempt was started before"
+            self._report(link, TaskResult(ref, TaskStatus.LOST, detail=detail))
+            return
         refusal = self._refusal(start, now)
         if refusal:
             self._granter.returned(link.entry.address, 1)
@@ -336,17 +360,35 @@
             return
         link.running.add(ref)
         self._calls[ref] = link.entry.address
+        self._remember(ref, start.deadline)
         self._effects.append(CallBackend(ref, start.payload, start.deadline))
 
     def _refusal(self, start: StartTask, now: float) -> str:
         if self.leaving:
             return "the worker takes no new work"
+        if self._announced_until <= now:
+            return "the announcement of the backend server has lapsed"
         if start.deadline <= now:
             return "the deadline had passed on arrival"
-        if start.ref in self._calls:
-            return "the attempt is running for an earlier incarnation"
         return ""
 
+    def _remember(self, ref: TaskRef, deadline: float) -> None:
+        """Keep a record of a start until no entry can ask for it."""
+        self._started[ref] = deadline + RECORD_GRACE_S
+        if _Timer(RECORD) not in self._timers:
+            self._timers.set(_Timer(RECORD), self._started[ref])
+
+    def _forget_starts(self, now: float) -> None:
+        self._started = {
+            ref: until
+            for ref, until in self._started.items()
+            if until > now or ref in self._calls
+        }
+        if self._started:
+            earliest = min(self._started.values())
+            next_at = max(earliest, now + RECORD_GRACE_S)
+            self._timers.set(_Timer(RECORD), next_at)
+
     def _cancel(self, link: _Link, ref: TaskRef) -> None:
         if ref in link.running:
             self._effects.append(CancelCall(ref))
@@ -360,7 +402,8 @@
     # Sessions.
 
     def _dial(self, link: _Link, now: float) -> None:
-        link.session += 1
+        self._last_session += 1
+        link.session = self._last_session
         link.open = True
         link.welcomed = False
         link.sequence = Sequence()
@@ -387,7 +430,7 @@
         link.failures += 1
         if self._finished(link, now):
             del self._links[link.entry.address]
-            self._dirty.discard(link.entry.address)
+            self._dirty.pop(link.entry.address, None)
             return
         self._arm(link, REDIAL, now + self._redial_pause(link.failures))
 
@@ -408,7 +451,7 @@
 
     def _mark(self, link: _Link) -> None:
         link.outbox.urgent = True
-        self._dirty.add(link.entry.address)
+        self._dirty[link.entry.address] = None
 
     def _flush(self, address: str, now: float) -> None:
         link = self._links.get(address)
@@ -434,13 +477,28 @@
             self._mark(link)
         self._decide("backend-left", reason)
 
-    def _check_stopped(self) -> None:
+    def _wait_for_announcement(self, now: float) -> None:
+        """Take no work until the backend server announces itself again."""
+        self._announced_until = now
+        self._leave("the backend server did not take a task")
+
+    def _check_stopped(self, now: float) -> None:
+        """Stop once no start can arrive and no result is to be delivered.
+
+        A credit that an entry holds may be on its way back as a start.
+        """
         if not self.stopping or self._stopped:
             return
-        unread = any(k.results for k in self._links.values() if k.welcomed)
-        if not self._calls and not unread:
+        if self._calls or self._granter.granted:
+            return
+        if not any(self._undelivered(k, now) for k in self._links.values()):
             self._stop()
 
+    def _undelivered(self, link: _Link, now: float) -> bool:
+        if not link.results:
+            return False
+        return link.welcomed or now - link.lost_at < self._cfg.deliver_s
+
     def _stop(self) -> None:
         self._stopped = True
         self._effects.append(AgentStopped())
@@ -450,7 +508,15 @@
     def _arm(self, link: _Link, kind: str, deadline: float) -> None:
         self._timers.set(_Timer(kind, link.entry.address), deadline)
 
+    def _arm_grant(self, now: float) -> None:
+        grant_at = self._granter.next_turn_at()
+        if grant_at is not None and grant_at > now:
+            self._timers.set(_Timer(GRANT), grant_at)
+
     def _expire(self, timer: _Timer, now: float) -> None:
+        if timer.kind == RECORD:
+            self._forget_starts(now)
+            return
         if timer.kind == BACKEND:
             self._leave("its announcement lapsed")
             return
--- /dev/null
+++ b/packages/briarford/tests/dispatch/test_agent_recovery.py
@@ -0,0 +1,203 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from briarford.dispatch import AgentCore
+from briarford.dispatch.messages import (
+    AgentStopped,
+    BackendAnnounced,
+    CallBackend,
+    CallEnded,
+    EntriesChanged,
+    EntryBatchArrived,
+    EntryLost,
+    OpenSession,
+    SendToEntry,
+    StopRequested,
+    Tick,
+)
+from briarford.jobs import TaskRef
+from briarford.sessions import (
+    EntryAddress,
+    EntryBatch,
+    StartTask,
+    TaskResult,
+    TaskStatus,
+    Welcome,
+    WorkerInfo,
+)
+
+ENTRY = EntryAddress("e", "e:1")
+OTHER = EntryAddress("f", "f:1")
+REF = TaskRef("job", 0)
+WORKER = WorkerInfo("desk", 2, 8.0, 8000)
+NOW = 1000.0
+DEADLINE = NOW + 20.0
+
+
+class Driver:
+    """Feeds an agent core and keeps its effects."""
+
+    def __init__(self) -> None:
+        self.core = AgentCore("a", "a-1", "zone", random.Random(0))
+        self.effects: list[object] = []
+        self.session = 0
+        self.seq = 0
+        self.take(BackendAnnounced(WORKER, NOW + 100.0))
+        self.take(EntriesChanged((ENTRY,)))
+
+    def take(self, message: object, now: float = NOW) -> list[object]:
+        self.core.receive(message, now)
+        new = self.core.turn(now)
+        self.effects += new
+        for effect in new:
+            if isinstance(effect, OpenSession):
+                self.session = effect.session
+                self.seq = 0
+        return new
+
+    def batch(self, now: float = NOW, **fields: object) -> list[object]:
+        self.seq += 1
+        batch = EntryBatch(self.seq, **fields)
+        return self.take(EntryBatchArrived("e:1", self.session, batch), now)
+
+    def welcome(self, *refs: TaskRef, now: float = NOW, life: str = "1"):
+        return self.batch(now, welcome=Welcome("e", life, refs))
+
+    def start(self, now: float = NOW) -> list[object]:
+        return self.batch(now, starts=(StartTask(REF, DEADLINE, b"1"),))
+
+    def lose(self, now: float = NOW) -> None:
+        self.take(EntryLost("e:1", self.session), now)
+        self.take(Tick(), now)
+
+
+def told(effects: list[object]) -> dict[TaskRef, TaskStatus]:
+    batches = [e.batch for e in effects if isinstance(e, SendToEntry)]
+    return {r.ref: r.status for b in batches for r in (*b.reports, *b.results)}
+
+
+def calls(effects: list[object]) -> int:
+    return sum(isinstance(e, CallBackend) for e in effects)
+
+
+def stopped(effects: list[object]) -> bool:
+    return any(isinstance(e, AgentStopped) for e in effects)
+
+
+def ended(status: TaskStatus = TaskStatus.DONE) -> CallEnded:
+    return CallEnded(TaskResult(REF, status, b"1"))
+
+
+def test_attempt_whose_result_was_dropped_is_not_denied():
+    agent = Driver()
+    agent.welcome()
+    assert calls(agent.start()) == 1
+    agent.lose()
+    agent.take(ended(), NOW + 0.1)
+    agent.take(EntriesChanged((OTHER,)), NOW + 0.2)
+    for second in range(40):
+        agent.take(EntryLost("e:1", agent.session), NOW + second)
+        agent.take(Tick(), NOW + second + 0.9)
+    agent.take(EntriesChanged((ENTRY, OTHER)), NOW + 41)
+    agent.session = agent.core._links["e:1"].session
+    agent.seq = 0
+    assert told(agent.welcome(REF, now=NOW + 41)) == {REF: TaskStatus.LOST}
+
+
+def test_attempt_that_runs_for_an_earlier_incarnation_is_not_denied():
+    agent = Driver()
+    agent.welcome(life="1")
+    agent.start()
+    agent.lose()
+    agent.welcome(life="2")
+    effects = agent.start()
+    assert calls(effects) == 0
+    assert told(effects) == {REF: TaskStatus.LOST}
+
+
+def test_record_of_a_start_is_dropped_in_the_end():
+    agent = Driver()
+    agent.welcome()
+    agent.start()
+    agent.take(ended())
+    for second in range(0, 200, 10):
+        agent.take(Tick(), NOW + second)
+    assert agent.core._started == {}
+
+
+def test_start_after_the_announcement_lapsed_is_denied():
+    agent = Driver()
+    agent.welcome()
+    agent.core.receive(BackendAnnounced(WORKER, NOW + 1.0), NOW)
+    effects = agent.start(now=NOW + 1.2)
+    assert calls(effects) == 0
+    assert told(effects) == {REF: TaskStatus.NOT_STARTED}
+
+
+def test_worker_that_did_not_take_a_task_waits_for_an_announcement():
+    agent = Driver()
+    agent.welcome()
+    agent.start()
+    agent.take(ended(TaskStatus.NOT_STARTED))
+    assert agent.core.leaving
+    agent.take(BackendAnnounced(WORKER, NOW + 100.0))
+    assert not agent.core.leaving
+
+
+def test_stop_waits_for_credits_that_may_return_as_starts():
+    agent = Driver()
+    agent.welcome()
+    assert not stopped(agent.take(StopRequested(NOW + 9.0)))
+    assert not stopped(agent.batch(returned=1))
+    effects = agent.start()
+    assert told(effects) == {REF: TaskStatus.NOT_STARTED}
+    assert not stopped(effects)
+    assert stopped(agent.batch(acks=(REF,)))
+
+
+@pytest.mark.parametrize(("seconds", "gives_up"), [(4.0, False), (6.0, True)])
+def test_stop_waits_a_while_for_an_entry_that_is_gone(seconds, gives_up):
+    agent = Driver()
+    agent.welcome()
+    agent.start()
+    agent.lose()
+    agent.take(ended())
+    agent.take(StopRequested(NOW + 60.0))
+    agent.take(Tick(), NOW + seconds)
+    assert stopped(agent.effects) is gives_up
+
+
+def test_heartbeats_go_on_after_a_late_welcome():
+    agent = Driver()
+    agent.take(StopRequested(NOW + 60.0))
+    agent.take(Tick(), NOW + 0.6)
+    agent.welcome(now=NOW + 0.7)
+    effects = agent.take(Tick(), NOW + 1.3)
+    assert any(isinstance(e, SendToEntry) for e in effects)
+
+
+def test_sessions_rise_when_an_entry_is_listed_again():
+    agent = Driver()
+    agent.lose()
+    before = agent.session
+    agent.take(EntriesChanged((OTHER,)))
+    agent.take(EntryLost("e:1", before))
+    agent.take(EntriesChanged((ENTRY, OTHER)))
+    assert agent.core._links["e:1"].session > before
+
+
+def test_unmet_demand_does_not_make_the_core_spin():
+    agent = Driver()
+    agent.welcome()
+    for second in range(3):
+        agent.batch(NOW + second / 100, demand=50)
+    turns = 0
+    now = NOW + 0.1
+    while now < NOW + 1.1:
+        agent.take(Tick(), now)
+        turns += 1
+        now = max(now, agent.core.next_deadline())
+    assert turns < 20
