--- /dev/null
+++ b/packages/briarford/tests/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the dispatch cores under faults, in virtual time."""
--- /dev/null
+++ b/packages/briarford/tests/dispatch/test_fault_matrix.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+import pytest
+
+from . import matrix, report
+
+PAIRS = matrix.sample_cases(200, 2, seed=11)
+
+
+@pytest.mark.parametrize(
+    ("step", "fault"),
+    [pytest.param(*c, id=f"{c[1]}@{c[0]}") for c in matrix.CELLS],
+)
+def test_promises_hold_under_each_fault(step, fault):
+    assert matrix.run_singles()[step, fault].violations == []
+
+
+@pytest.mark.parametrize(
+    ("case", "seed"),
+    [
+        pytest.param(case, seed, id="+".join(map(str, case)))
+        for seed, case in enumerate(PAIRS)
+    ],
+)
+def test_promises_hold_under_two_faults(case, seed):
+    assert matrix.run_case(case, seed).violations == []
+
+
+def test_outcomes_of_the_matrix(snapshot):
+    assert report.table() == snapshot
+
+
+def test_page_of_faults_is_up_to_date():
+    assert report.PAGE.read_text() == report.page()
--- /dev/null
+++ b/packages/briarford/tests/dispatch/world.py
@@ -0,0 +1,200 @@
+"""Virtual time, processes that fail, and a record of what happened."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from briarford.jobs import TaskRef
+from briarford.outcomes import Outcome, Step
+
+BEGIN = 1_800_000_000.0
+LATENCY_S = 0.0005
+JITTER_S = 0.0005
+
+
+@dataclass(slots=True)
+class Start:
+    """One task that a backend server began."""
+
+    at: float
+    ref: TaskRef
+    backend: str
+    left_at: float | None
+
+
+@dataclass(slots=True)
+class Record:
+    """What the outside world saw of one case."""
+
+    starts: list[Start] = field(default_factory=list)
+    denied: list[TaskRef] = field(default_factory=list)
+    answers: dict[str, list[tuple[float, Outcome]]] = field(
+        default_factory=dict
+    )
+    turns: Counter[str] = field(default_factory=Counter)
+    messages: Counter[str] = field(default_factory=Counter)
+    injected: list[str] = field(default_factory=list)
+    held: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Site:
+    """What is at hand where a step is reached."""
+
+    step: Step
+    job_id: str = ""
+    entry: Any = None
+    agent: Any = None
+    stream: Any = None
+
+
+class World:
+    """Runs events in the order of their virtual time."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = BEGIN
+        self.record = Record()
+        self.faults_end_at = BEGIN
+        self.message_faults: list[str] = []
+        self.on_step: Callable[[Site], None] = lambda site: None
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = 0
+
+    def call_at(self, when: float, run: Callable[[], None]) -> None:
+        self._serial += 1
+        heapq.heappush(self._events, (max(when, self.now), self._serial, run))
+
+    def call_later(self, delay_s: float, run: Callable[[], None]) -> None:
+        self.call_at(self.now + delay_s, run)
+
+    def latency(self) -> float:
+        return LATENCY_S + self.rng.random() * JITTER_S
+
+    def run_until(self, end: float) -> None:
+        while self._events and self._events[0][0] <= end:
+            when, _, run = heapq.heappop(self._events)
+            self.now = when
+            run()
+        self.now = end
+
+    def fault_lasts(self, seconds: float) -> None:
+        """Note until when an injected fault has an effect of its own."""
+        self.faults_end_at = max(self.faults_end_at, self.now + seconds)
+
+
+class Process:
+    """A process that can crash, restart, pause and have a wrong clock."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.paused = False
+        self.clock_offset_s = 0.0
+        self.generation = 0
+        self._held: list[Callable[[], None]] = []
+
+    @property
+    def clock(self) -> float:
+        return self.world.now + self.clock_offset_s
+
+    def at(self, when: float, run: Callable[[], None]) -> None:
+        """Run something in this process, unless it has ended by then."""
+        generation = self.generation
+
+        def guarded() -> None:
+            if generation != self.generation or not self.alive:
+                return
+            if self.paused:
+                self._held.append(guarded)
+                return
+            run()
+
+        self.world.call_at(when, guarded)
+
+    def after(self, delay_s: float, run: Callable[[], None]) -> None:
+        self.at(self.world.now + delay_s, run)
+
+    def pause(self, seconds: float) -> None:
+        self.paused = True
+        self.world.call_later(seconds, self.wake)
+
+    def wake(self) -> None:
+        self.paused = False
+        held = self._held
+        self._held = []
+        for run in held:
+            self.world.call_at(self.world.now, run)
+
+    def crash(self, back_after_s: float) -> None:
+        if not self.alive:
+            return
+        self.alive = False
+        self.generation += 1
+        self._held.clear()
+        self.on_crash()
+        self.world.call_later(back_after_s, self.restart)
+
+    def restart(self) -> None:
+        if self.alive:
+            return
+        self.alive = True
+        self.on_restart()
+
+    def on_crash(self) -> None:
+        """Tell the peers."""
+
+    def on_restart(self) -> None:
+        """Begin anew."""
+
+
+class CoreProcess(Process):
+    """A process around a sans-I/O core."""
+
+    core: Any
+    _timer_at: float | None = None
+    _turning = False
+
+    def post(self, message: object) -> None:
+        self.core.receive(message, self.clock)
+        self.schedule_turn()
+
+    def schedule_turn(self) -> None:
+        if not self._turning:
+            self._turning = True
+            self.after(0.0, self._turn)
+
+    def reset_turns(self) -> None:
+        self._timer_at = None
+        self._turning = False
+
+    def perform(self, effect: Any) -> None:
+        raise NotImplementedError
+
+    def _turn(self) -> None:
+        self._turning = False
+        self.world.record.turns[self.name] += 1
+        for effect in self.core.turn(self.clock):
+            self.perform(effect)
+        self._arm()
+
+    def _arm(self) -> None:
+        deadline = self.core.next_deadline()
+        if deadline is None:
+            return
+        when = max(deadline - self.clock_offset_s, self.world.now + 0.001)
+        if self._timer_at is not None and self._timer_at <= when:
+            return
+        self._timer_at = when
+        self.at(when, self._fire)
+
+    def _fire(self) -> None:
+        if self._timer_at is not None and self.world.now >= self._timer_at:
+            self._timer_at = None
+            self._turn()
