Take task deadlines by the entry's clock at the agent

Cause: with placement's learnt choice of workers, two pairs of faults (agent's clock 30 s ahead with one silent direction) held a job: the agent denied every start as past its deadline by its own clock, and the entry went on sending them there. Change: Welcome carries the entry's time; the agent keeps the smallest lead of its clock over the entry's and moves deadlines by it. An agent whose entry was taken off the list and whose stream broke opens one more session, so that starts on their way get an answer. Ruled out: the pause between denied attempts (it is what held the job, but shortening it only spends messages); punishing workers that deny (a draining worker denies rightly).

--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -107,6 +108,7 @@
     failures: int = 0
     incarnation: str = ""
     lost_at: float = 0.0
+    clock_lead_s: float = math.inf
     sequence: Sequence = field(default_factory=Sequence)
     outbox: AgentOutbox = field(default_factory=AgentOutbox)
     running: set[TaskRef] = field(default_factory=set)
@@ -312,6 +314,10 @@
         if link.incarnation != welcome.incarnation:
             link.running.clear()
             link.results.clear()
+            link.clock_lead_s = math.inf
+        # A late welcome makes the own clock look ahead by its delay.
+        lead_s = now - welcome.sent_at
+        link.clock_lead_s = min(link.clock_lead_s, lead_s)
         link.incarnation = welcome.incarnation
         link.welcomed = True
         link.failures = 0
@@ -347,7 +353,8 @@
             detail = "the attempt was started before"
             self._report(link, TaskResult(ref, TaskStatus.LOST, detail=detail))
             return
-        refusal = self._refusal(start, now)
+        deadline = start.deadline + link.clock_lead_s
+        refusal = self._refusal(deadline, now)
         if refusal:
             self._granter.returned(link.entry.address, 1)
         elif not self._granter.started(link.entry.address):
@@ -360,15 +367,15 @@
             return
         link.running.add(ref)
         self._calls[ref] = link.entry.address
-        self._remember(ref, start.deadline)
-        self._effects.append(CallBackend(ref, start.payload, start.deadline))
+        self._remember(ref, deadline)
+        self._effects.append(CallBackend(ref, start.payload, deadline))
 
-    def _refusal(self, start: StartTask, now: float) -> str:
+    def _refusal(self, deadline: float, now: float) -> str:
         if self.leaving:
             return "the worker takes no new work"
         if self._announced_until <= now:
             return "the announcement of the backend server has lapsed"
-        if start.deadline <= now:
+        if deadline <= now:
             return "the deadline had passed on arrival"
         return ""
 
@@ -438,6 +445,9 @@
         """Whether an entry that has left needs nothing more from here."""
         if link.wanted or link.running:
             return False
+        # Starts may have been on their way: one more session answers them.
+        if link.failures == 1:
+            return False
         waited = now - link.lost_at
         return not link.results or waited > self._cfg.keep_results_s
 
--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -576,7 +576,7 @@
         session.zone = hello.zone
         self._timers.clear(_Timer(AGENT_LOST, agent.name))
         session.outbox.welcome = Welcome(
-            self.name, self.incarnation, tuple(agent.outstanding)
+            self.name, self.incarnation, tuple(agent.outstanding), now
         )
         session.outbox.cancels += filter(self._unwanted, agent.outstanding)
         session.outbox.entries = self._entries
--- a/packages/briarford/src/briarford/sessions/messages.py
+++ b/packages/briarford/src/briarford/sessions/messages.py
@@ -89,18 +89,21 @@
     :param incarnation: differs each time the entry's process starts.
     :param outstanding: attempts that the entry sent to this agent and has no
         result of; the agent answers for each.
+    :param sent_at: Unix seconds by the entry's clock, from which the agent
+        learns how far its own clock is off.
     """
 
     entry: str
     incarnation: str
     outstanding: tuple[TaskRef, ...] = ()
+    sent_at: float = 0.0
 
 
 class StartTask(Message, frozen=True):
     """Spends one credit to start a task.
 
     :param ref: the attempt.
-    :param deadline: Unix time in seconds.
+    :param deadline: Unix time in seconds by the entry's clock.
     :param payload: the JSON document for the backend server.
     """
 
--- a/packages/briarford/tests/dispatch/test_agent_recovery.py
+++ b/packages/briarford/tests/dispatch/test_agent_recovery.py
@@ -64,7 +64,7 @@
         return self.take(EntryBatchArrived("e:1", self.session, batch), now)
 
     def welcome(self, *refs: TaskRef, now: float = NOW, life: str = "1"):
-        return self.batch(now, welcome=Welcome("e", life, refs))
+        return self.batch(now, welcome=Welcome("e", life, refs, now))
 
     def start(self, now: float = NOW) -> list[object]:
         return self.batch(now, starts=(StartTask(REF, DEADLINE, b"1"),))
--- a/packages/briarford/tests/test_messages.py
+++ b/packages/briarford/tests/test_messages.py
@@ -43,7 +43,7 @@
         pytest.param(
             EntryBatch(
                 1,
-                Welcome("e", "i", (REF,)),
+                Welcome("e", "i", (REF,), 9.5),
                 (StartTask(REF, 12.5, b"1"),),
                 (REF,),
                 (REF,),
