Follow the view by watches and bound the calls of a link

Cause: reading the whole view and all entries each second costs more bytes than a daemon may spend on control once there are some forty entries. Change: a watch that says 'nothing changed' confirms the view; a call opens at most ten connections; a task that fails says so in the log.

--- a/packages/briarford-daemon/src/briarford_daemon/peers.py
+++ b/packages/briarford-daemon/src/briarford_daemon/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Any, Protocol, TypeVar
 
+import msgspec
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -66,7 +67,9 @@
 RETRY_AFTER_S = 1.0
 HAND_OVER_TIMEOUT_S = 5.0
 MAX_HOPS = 2
+MAX_CONNECTIONS_PER_CALL = 10
 
+_UNUSABLE = (GRPCError, msgspec.MsgspecError)
 _LOST = (OSError, StreamTerminatedError, TimeoutError)
 
 Rep = TypeVar("Rep")
@@ -180,7 +183,7 @@
                 continue
             try:
                 await self.exchange()
-            except (*_LOST, GRPCError):
+            except (*_LOST, *_UNUSABLE):
                 self._broken.set()
                 return
 
@@ -214,16 +217,17 @@
 
         :raises PeerUnreachableError: if a new connection does not work.
         """
-        while True:
+        for _ in range(MAX_CONNECTIONS_PER_CALL):
             conn = self._connect()
             try:
                 return await conn.call(path, req, kind)
-            except GRPCError as exc:
+            except _UNUSABLE as exc:
                 raise self._unreachable(step, str(exc)) from exc
             except _LOST as exc:
                 self._drop(conn)
                 if not conn.proven:
                     raise self._unreachable(step, str(exc)) from exc
+        raise self._unreachable(step, "one connection after another fails")
 
     async def exchange(self) -> bool:
         """Exchange records; False if the peer does not answer."""
@@ -231,7 +235,7 @@
             conn = self._connect()
             try:
                 await conn.exchange()
-            except (*_LOST, GRPCError):
+            except (*_LOST, *_UNUSABLE):
                 self._drop(conn)
                 if not conn.proven:
                     return False
--- a/packages/briarford-daemon/src/briarford_daemon/registration.py
+++ b/packages/briarford-daemon/src/briarford_daemon/registration.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import msgspec
 
@@ -26,7 +27,7 @@
 from briarford.membership.messages import ENTRIES_PREFIX
 from briarford.membership.registration import REGISTRATION_TTL_S
 from briarford.messages import decode, encode
-from briarford.store import Store
+from briarford.store import Listing, Store
 from briarford_daemon.clock import Clock
 from briarford_daemon.logs import log_decision
 from briarford_daemon.peers import Peers
@@ -36,6 +37,7 @@
 LOGGER = logging.getLogger("briarford.membership")
 
 VIEW_PERIOD_S = 1.0
+ENTRIES_PERIOD_S = 3.0
 CALL_TIMEOUT_S = 2.0
 LEAVE_POLL_S = 0.2
 
@@ -67,6 +69,7 @@
         self._clock = clock
         self._changed = changed
         self._registration = Registration(holder.me)
+        self._stored: ViewRecord | None = None
         self._entries: tuple[EntryRecord, ...] = ()
         self._seeds: tuple[str, ...] = ()
         self._tasks: list[asyncio.Task[None]] = []
@@ -80,11 +83,12 @@
             does not answer.
         """
         self._seeds = seeds
-        self._tasks.append(asyncio.create_task(self._keep_in_touch()))
+        self._spawn(self._keep_in_touch())
         if self._store is None:
             return
-        self._tasks.append(asyncio.create_task(self._register(self._store)))
-        self._tasks.append(asyncio.create_task(self._keep_view(self._store)))
+        self._spawn(self._register(self._store))
+        self._spawn(self._keep_view(self._store))
+        self._spawn(self._keep_entries(self._store))
 
     async def close(self) -> None:
         """Stop at once."""
@@ -116,6 +120,11 @@
         self._wake.set()
         return named
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_log_crash)
+        self._tasks.append(task)
+
     def _has_left(self) -> bool:
         record = self._holder.record
         if record is None:
@@ -191,28 +200,71 @@
     # The view.
 
     async def _keep_view(self, store: Store) -> None:
+        revision: int | None = None
         while True:
             try:
-                await self._refresh(store)
+                revision = await self._follow_view(store, revision)
+                await self._plan(store)
             except StoreError as exc:
                 LOGGER.warning("view not confirmed", extra=_cause(exc))
+                revision = None
+                await asyncio.sleep(VIEW_PERIOD_S)
             except msgspec.MsgspecError as exc:
                 LOGGER.error("record not readable", extra={"error": str(exc)})
-            await asyncio.sleep(VIEW_PERIOD_S)
+                revision = None
+                await asyncio.sleep(VIEW_PERIOD_S)
 
-    async def _refresh(self, store: Store) -> None:
-        await self._read_view(store)
-        deadline = self._clock.now() + CALL_TIMEOUT_S
-        listing = await store.list(ENTRIES_PREFIX, deadline)
-        entries = tuple(decode(i.value, EntryRecord) for i in listing.items)
-        self._note_entries(entries)
+    async def _keep_entries(self, store: Store) -> None:
+        revision: int | None = None
+        while True:
+            try:
+                revision = await self._follow_entries(store, revision)
+            except StoreError as exc:
+                LOGGER.warning("entries not listed", extra=_cause(exc))
+                revision = None
+                await asyncio.sleep(VIEW_PERIOD_S)
+            except msgspec.MsgspecError as exc:
+                LOGGER.error("record not readable", extra={"error": str(exc)})
+                revision = None
+                await asyncio.sleep(VIEW_PERIOD_S)
+
+    async def _follow_view(self, store: Store, revision: int | None) -> int:
+        """Wait for a change of the view; no change confirms it as well."""
+        asked_at = self._clock.now()
+        listing = await _follow(
+            store, VIEW_KEY, revision, asked_at, VIEW_PERIOD_S
+        )
+        if listing is not None:
+            revision = listing.revision
+            values = [i.value for i in listing.items if i.key == VIEW_KEY]
+            self._stored = decode(values[0], ViewRecord) if values else None
+        if self._stored is not None:
+            self._holder.read_from_store(self._stored, asked_at)
+        return revision or 0
+
+    async def _follow_entries(self, store: Store, revision: int | None) -> int:
+        listing = await _follow(
+            store,
+            ENTRIES_PREFIX,
+            revision,
+            self._clock.now(),
+            ENTRIES_PERIOD_S,
+        )
+        if listing is None:
+            return revision or 0
+        self._note_entries(
+            tuple(decode(i.value, EntryRecord) for i in listing.items)
+        )
+        return listing.revision
+
+    async def _plan(self, store: Store) -> None:
         if not self._registration.holds(self._clock.now()):
             return
-        if self._holder.plan(entries, self._clock.now()) is None:
+        if self._holder.plan(self._entries, self._clock.now()) is None:
             return
         # Clocks are compared before the time that the record will name.
         await self._exchange_all(self._addresses())
-        planned = self._holder.plan(entries, self._clock.now())
+        planned = self._holder.plan(self._entries, self._clock.now())
         if planned is not None:
             await self._write_view(store, planned)
             await self._read_view(store)
@@ -287,5 +339,23 @@
         return ordered[start:] + ordered[:start]
 
 
+async def _follow(
+    store: Store,
+    prefix: str,
+    revision: int | None,
+    now: float,
+    period_s: float,
+) -> Listing | None:
+    """List a prefix, or wait for a change of it after a revision."""
+    if revision is None:
+        return await store.list(prefix, now + CALL_TIMEOUT_S)
+    return await store.watch(prefix, revision, now + period_s)
+
+
+def _log_crash(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        LOGGER.critical("task failed", exc_info=task.exception())
+
+
 def _cause(exc: StoreError) -> dict[str, str]:
     return {"error": exc.message, "step": exc.step, "peer": exc.peer}
--- a/packages/briarford-daemon/tests/test_registration.py
+++ b/packages/briarford-daemon/tests/test_registration.py
@@ -43,6 +43,7 @@
         self.leases = {}
         self.down = False
         self.lose_answers = 0
+        self.revision = 1
 
     def answer(self, value):
         if self.lose_answers > 0:
@@ -61,13 +62,21 @@
     async def list(self, prefix, deadline):
         self.check()
         found = [i for k, i in self.items.items() if k.startswith(prefix)]
-        return Listing(1, tuple(found))
+        return Listing(self.revision, tuple(found))
+
+    async def watch(self, prefix, after, deadline):
+        before = self.revision
+        await asyncio.sleep(0.02)
+        listing = await self.list(prefix, deadline)
+        changed = after < before or before < self.revision
+        return listing if changed else None
 
     async def swap(self, key, value, expected, deadline, lease=""):
         self.check()
         held = self.items.get(key, KeyValue(key, b"", 0))
         if held.version != expected:
             return held
+        self.revision += 1
         self.items[key] = KeyValue(key, value, expected + 1)
         self.leases.setdefault(lease, set()).add(key)
         return self.answer(None)
@@ -84,6 +93,7 @@
 
     async def revoke_lease(self, lease, deadline):
         self.check()
+        self.revision += 1
         for key in self.leases.pop(lease, ()):
             self.items.pop(key, None)
 
