Add the commands that operate presets and drains

Cause: operators drive the system by switching and editing presets, and a newcomer has to be able to predict its behaviour. 'edit' takes a file instead of starting an editor, as no process starts another; the file holds the version on which the edits were decided. Ruled out: undoing by putting an old record back, which would drop what others changed since.

--- /dev/null
+++ b/packages/briarford-cli/src/briarford_cli/preset_store.py
@@ -0,0 +1,266 @@
+"""Reads and changes the preset record for commands."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+from cyclopts import Parameter
+
+from briarford.exceptions import StoreError
+from briarford.presets import (
+    PRESET_KEY,
+    Accepted,
+    ChangeEffect,
+    ChangeOutcome,
+    ChangeRequest,
+    ChangeSession,
+    Edit,
+    ReadRecord,
+    Record,
+    RecordFound,
+    RecordSwapped,
+    SleepUntil,
+    StoreFailed,
+    Woken,
+    WriteRecord,
+    apply_edits,
+    decode_record,
+    diff_records,
+    encode_record,
+    make_default_record,
+    rewind,
+)
+from briarford.presets.messages import ChangeEvent
+from briarford.store import Store
+from briarford_cli.exceptions import InputError
+from briarford_daemon.client import Client
+from briarford_daemon.clock import Clock
+from briarford_daemon.store_client import HttpStore
+
+__all__ = [
+    "ChangeOptions",
+    "MakeEdits",
+    "ReadOptions",
+    "Seen",
+    "StoreOptions",
+    "change_record",
+    "create_record",
+    "read_record",
+    "run_session",
+    "write_first_record",
+]
+
+CALL_S = 3.0
+READ_S = 10.0
+
+MakeEdits = Callable[[Record], tuple[Edit, ...]]
+
+
+def _make_change_id() -> str:
+    return secrets.token_hex(8)
+
+
+@Parameter(name="*")
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StoreOptions:
+    """Where the record is.
+
+    :param store: address of the key-value service.
+    """
+
+    store: Annotated[str, Parameter(env_var="BRIARFORD_STORE")]
+
+
+@Parameter(name="*")
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ReadOptions:
+    """Where to read the record.
+
+    :param store: address of the key-value service.
+    :param entry: HTTP address of an entry, to see what is in force there,
+        also while the key-value service is down.
+    """
+
+    store: Annotated[str, Parameter(env_var="BRIARFORD_STORE")] = ""
+    entry: str = ""
+
+
+@Parameter(name="*")
+@dataclass(slots=True, frozen=True, kw_only=True)
+class ChangeOptions(StoreOptions):
+    """How to make a change.
+
+    :param why: the reason, for those who read the history.
+    :param who: who makes the change.
+    :param expect_version: version of the record on which the change was
+        decided; the present one if not given.
+    :param reapply: make the change on a newer record if nobody else has
+        changed the same fields.
+    :param change_id: repeat an unsettled change under its id.
+    :param dry_run: show what would change, and change nothing.
+    :param timeout_s: seconds after which the outcome is shown as it stands.
+    """
+
+    why: str
+    who: str = field(default_factory=getpass.getuser)
+    expect_version: int = 0
+    reapply: bool = False
+    change_id: str = field(default_factory=_make_change_id)
+    dry_run: bool = False
+    timeout_s: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """The record as it is in the store.
+
+    :param key_version: version of its key.
+    """
+
+    record: Record
+    key_version: int
+
+
+async def read_record(options: ReadOptions) -> Record:
+    """Read the record from the store or from an entry.
+
+    :raises StoreError: if there is no answer.
+    """
+    if options.entry:
+        return await _read_from_entry(options.entry)
+    if not options.store:
+        raise InputError("give --store or --entry, or set BRIARFORD_STORE")
+    store = HttpStore(options.store)
+    try:
+        return (await _read_seen(store, Clock())).record
+    finally:
+        await store.close()
+
+
+async def _read_from_entry(address: str) -> Record:
+    async with Client([address]) as client:
+        answer = await client.get("/v1/preset", 0)
+    if answer is None or answer.status != 200:
+        raise StoreError(
+            f"entry {address} gave no record; ask another entry",
+            step="preset-read",
+            peer=address,
+        )
+    return decode_record(msgspec.json.encode(answer.body))
+
+
+async def _read_seen(store: Store, clock: Clock) -> Seen:
+    found = await store.get(PRESET_KEY, clock.now() + READ_S)
+    if found is None:
+        raise InputError("there is no record yet; run 'briarford preset init'")
+    return Seen(decode_record(found.value), found.version)
+
+
+async def create_record(options: StoreOptions) -> bool:
+    """Write the first record; False if there is one."""
+    store = HttpStore(options.store)
+    try:
+        return await write_first_record(store, Clock())
+    finally:
+        await store.close()
+
+
+async def write_first_record(store: Store, clock: Clock) -> bool:
+    """Write the first record to a store; False if there is one."""
+    encoded = encode_record(make_default_record())
+    deadline = clock.now() + READ_S
+    return await store.swap(PRESET_KEY, encoded, 0, deadline) is None
+
+
+async def change_record(
+    options: ChangeOptions, make_edits: MakeEdits
+) -> tuple[Record, Record, ChangeOutcome | None]:
+    """Change the record.
+
+    :param make_edits: gives the edits for the record as it was seen.
+    :return: the record before and after, and the outcome; no outcome if
+        there was nothing to change or it was a dry run.
+    """
+    clock = Clock()
+    store = HttpStore(options.store, clock=clock)
+    try:
+        return await _change(options, make_edits, store, clock)
+    finally:
+        await store.close()
+
+
+async def _change(
+    options: ChangeOptions,
+    make_edits: MakeEdits,
+    store: Store,
+    clock: Clock,
+) -> tuple[Record, Record, ChangeOutcome | None]:
+    present = await _read_seen(store, clock)
+    known = present.record.find_change(options.change_id)
+    if known is not None:
+        accepted = Accepted(known.change_id, known.version)
+        return present.record, present.record, accepted
+    seen = _rewind(present, options.expect_version)
+    after = apply_edits(seen.record, make_edits(seen.record))
+    edits = diff_records(seen.record, after)
+    if options.dry_run or not edits:
+        return seen.record, after, None
+    req = ChangeRequest(
+        options.change_id,
+        edits,
+        options.who,
+        options.why,
+        clock.now() + options.timeout_s,
+        options.reapply,
+    )
+    session = ChangeSession(
+        req, seen.record, seen.key_version, random.Random()
+    )
+    outcome = await run_session(session, store, clock)
+    return seen.record, after, outcome
+
+
+def _rewind(present: Seen, version: int) -> Seen:
+    """Return the record as the operator saw it."""
+    record = present.record
+    if version in (0, record.version):
+        return present
+    key_version = present.key_version - (record.version - version)
+    return Seen(rewind(record, version), key_version)
+
+
+async def run_session(
+    session: ChangeSession, store: Store, clock: Clock
+) -> ChangeOutcome:
+    """Carry out the effects of a session until it has an outcome."""
+    step = session.start(clock.now())
+    while isinstance(step, ReadRecord | WriteRecord | SleepUntil):
+        event = await _carry_out(step, store, clock)
+        step = session.handle(event, clock.now())
+    return step
+
+
+async def _carry_out(
+    effect: ChangeEffect, store: Store, clock: Clock
+) -> ChangeEvent:
+    deadline = clock.now() + CALL_S
+    try:
+        if isinstance(effect, ReadRecord):
+            return RecordFound(await store.get(PRESET_KEY, deadline))
+        if isinstance(effect, WriteRecord):
+            return RecordSwapped(
+                await store.swap(
+                    PRESET_KEY, effect.encoded, effect.expected, deadline
+                )
+            )
+    except StoreError as exc:
+        return StoreFailed(exc.message, exc.maybe_applied)
+    await asyncio.sleep(max(0.0, effect.at - clock.now()))
+    return Woken()
--- /dev/null
+++ b/packages/briarford-cli/tests/test_preset_commands.py
@@ -0,0 +1,167 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from briarford.exceptions import BriarfordError
+from briarford.presets import PRESET_KEY, decode_record
+from briarford_bench.kv_server import KvServer
+from briarford_cli.drain_commands import drain, undrain
+from briarford_cli.preset_commands import preset_app
+from briarford_cli.preset_store import ChangeOptions
+
+QUEUE = "presets.peak.limits.queue_bound"
+
+
+class Shell:
+    """Runs commands in this process, against a stand-in."""
+
+    def __init__(self, server, capsys):
+        self.server = server
+        self.capsys = capsys
+
+    def record(self):
+        return decode_record(self.server.core.get(PRESET_KEY, 0.0).value)
+
+    async def preset(self, *args):
+        args = [*args, "--store", self.server.address]
+        if args[0] in ("set", "switch", "undo", "edit"):
+            args += ["--why", "test", "--who", "ann"]
+        return await self.run(
+            lambda: preset_app(args, result_action=return_it)
+        )
+
+    async def run(self, command):
+        def call():
+            try:
+                command()
+            except SystemExit as exc:
+                return exc.code
+            except BriarfordError as exc:
+                print(exc.message)
+                return exc.exit_status
+            return 0
+
+        status = await asyncio.to_thread(call)
+        return status, self.capsys.readouterr().out
+
+
+def return_it(result):
+    return result
+
+
+@contextlib.asynccontextmanager
+async def shell(capsys):
+    server = KvServer()
+    await server.start()
+    here = Shell(server, capsys)
+    await here.preset("init")
+    try:
+        yield here
+    finally:
+        await server.stop()
+
+
+@pytest.mark.parametrize(
+    ("args", "status", "shown"),
+    [
+        pytest.param(["list"], 0, "ordinary", id="list"),
+        pytest.param(["show", "peak"], 0, "queue_bound", id="show"),
+        pytest.param(["show", "night"], 2, "use one of", id="show-unknown"),
+        pytest.param(["explain"], 0, "is in force", id="explain"),
+        pytest.param(["diff", "ordinary", "peak"], 0, "20000", id="diff"),
+        pytest.param(["history"], 0, "", id="empty-history"),
+        pytest.param(["init"], 0, "already", id="init-twice"),
+        pytest.param(["switch", "peak"], 0, "accepted", id="switch"),
+        pytest.param(["switch", "ordinary"], 0, "nothing", id="no-switch"),
+        pytest.param(["switch", "night"], 2, "use one of", id="to-nowhere"),
+        pytest.param(
+            ["switch", "peak", "--dry-run"], 0, "Dry run", id="dry-run"
+        ),
+        pytest.param(["set", f"{QUEUE}=0"], 2, QUEUE, id="set-too-low"),
+        pytest.param(["set", QUEUE], 2, "path=value", id="set-no-value"),
+        pytest.param(
+            ["set", "version=7"], 2, "edit a field under", id="set-version"
+        ),
+        pytest.param(["undo"], 2, "no change", id="nothing-to-undo"),
+        pytest.param(["edit", "/nowhere"], 2, "cannot read", id="no-file"),
+    ],
+)
+async def test_commands_on_a_new_record(args, status, shown, capsys):
+    async with shell(capsys) as here:
+        got, out = await here.preset(*args)
+        assert (got, shown in out) == (status, True), out
+        changed = args == ["switch", "peak"]
+        assert here.record().version == 1 + changed
+
+
+async def test_conflict_shows_both_edits_and_can_be_reapplied(capsys):
+    async with shell(capsys) as here:
+        await here.preset("switch", "peak")
+        old = ["set", f"{QUEUE}=7", "--expect-version", "1"]
+        status, out = await here.preset(*old, "--format", "json")
+        rows = json.loads(out)
+        assert status == 4
+        assert [r["whose"] for r in rows] == ["yours", "theirs"]
+        assert (await here.preset(*old, "--reapply"))[0] == 0
+        assert here.record().presets["peak"].limits.queue_bound == 7
+        assert (await here.preset(*old, "--reapply"))[0] == 4
+
+
+async def test_a_file_is_edited_on_the_version_it_shows(capsys, tmp_path):
+    async with shell(capsys) as here:
+        _, shown = await here.preset("show", "--format", "json")
+        document = json.loads(shown)
+        document["presets"]["peak"]["limits"]["queue_bound"] = 7
+        path = tmp_path / "record.json"
+        path.write_text(json.dumps(document))
+        await here.preset("switch", "peak")
+        assert (await here.preset("edit", str(path)))[0] == 4
+        assert (await here.preset("edit", str(path), "--reapply"))[0] == 0
+        record = here.record()
+        assert record.active == "peak"
+        assert record.presets["peak"].limits.queue_bound == 7
+
+
+async def test_undo_stops_where_a_later_change_is_at_stake(capsys):
+    async with shell(capsys) as here:
+        await here.preset("set", f"{QUEUE}=7", "--change-id", "first")
+        await here.preset("set", f"{QUEUE}=8")
+        assert (await here.preset("undo", "first"))[0] == 4
+        assert (await here.preset("undo"))[0] == 0
+        assert here.record().presets["peak"].limits.queue_bound == 7
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "shown"),
+    [
+        pytest.param({"lost_answers": 1}, 0, "accepted", id="answer-lost"),
+        pytest.param({"lost_answers": 99}, 0, "accepted", id="all-lost"),
+        pytest.param({"down": True}, 3, "503", id="down"),
+        pytest.param({"stale_reads": True}, 0, "accepted", id="stale"),
+    ],
+)
+async def test_switch_under_faults(faults, status, shown, capsys):
+    async with shell(capsys) as here:
+        here.server.set_faults(**faults)
+        args = ["switch", "peak", "--change-id", "c1"]
+        got, out = await here.preset(*args)
+        assert (got, shown in out) == (status, True), out
+        here.server.set_faults()
+        assert (await here.preset(*args))[0] == 0
+        assert [c.change_id for c in here.record().history] == ["c1"]
+
+
+async def test_a_worker_is_drained_and_given_back(capsys):
+    async with shell(capsys) as here:
+        options = ChangeOptions(store=here.server.address, why="fan broken")
+        await here.run(lambda: drain("worker-3", options=options))
+        again = ChangeOptions(store=here.server.address, why="again")
+        await here.run(lambda: drain("worker-3", options=again))
+        assert here.record().drains["worker-3"].why == "fan broken"
+        options = ChangeOptions(store=here.server.address, why="mended")
+        await here.run(lambda: undrain("worker-3", options=options))
+        assert here.record().drains == {}
--- a/packages/briarford/src/briarford/presets/__init__.py
+++ b/packages/briarford/src/briarford/presets/__init__.py
@@ -15,8 +15,11 @@
     find_clashes,
     invert,
     read_field,
+    rewind,
 )
+from briarford.presets.field_effects import FIELD_EFFECTS, find_effect, list_effects
 from briarford.presets.exceptions import RecordError
+from briarford.presets.explain import explain
 from briarford.presets.holder import Adopted, Ignored, PresetHolder
 from briarford.presets.messages import (
     Accepted,
@@ -47,6 +50,7 @@
 from briarford.presets.session import ChangeRequest, ChangeSession
 
 __all__ = [
+    "FIELD_EFFECTS",
     "PRESET_KEY",
     "Accepted",
     "Admission",
@@ -83,9 +87,13 @@
     "decode_record",
     "diff_records",
     "encode_record",
+    "explain",
     "find_clashes",
+    "find_effect",
     "invert",
+    "list_effects",
     "make_default_record",
     "read_field",
+    "rewind",
     "to_document",
 ]
--- a/packages/briarford/src/briarford/presets/codec.py
+++ b/packages/briarford/src/briarford/presets/codec.py
@@ -9,7 +9,7 @@
 
 from briarford.presets.checks import check_record
 from briarford.presets.exceptions import RecordError
-from briarford.presets.schema import Record
+from briarford.presets.schema import Admission, Record
 
 __all__ = [
     "MAX_RECORD_BYTES",
@@ -22,6 +22,7 @@
 MAX_RECORD_BYTES = 65_536
 SHOWN_CHARS = 200
 _AT = re.compile(r"^(?P<what>.*?)(?: - at `(?P<at>key` in `)?(?P<path>.*)`)?$")
+_ENUMS = {"admission": [member.value for member in Admission]}
 _MISSING = re.compile(r"missing required field `(\w+)`")
 _STEP = re.compile(r"\[\.\.\.\]|\[(\d+)\]|\.(\w+)")
 
@@ -108,7 +109,16 @@
     missing = _MISSING.search(what)
     if missing:
         return RecordError(".".join((*path, missing[1])), None, "it is needed")
-    return RecordError(".".join(path) or "record", _shorten(value), what)
+    return RecordError(
+        ".".join(path) or "record", _shorten(value), _describe(path, what)
+    )
+
+
+def _describe(path: tuple[str, ...], what: str) -> str:
+    """Say what is allowed in place of a value."""
+    if path and path[-1] in _ENUMS:
+        return f"use one of {', '.join(_ENUMS[path[-1]])}"
+    return what.replace("Expected", "it must be").replace("`", "")
 
 
 def _walk(
--- a/packages/briarford/src/briarford/presets/edits.py
+++ b/packages/briarford/src/briarford/presets/edits.py
@@ -24,6 +24,7 @@
     "find_clashes",
     "invert",
     "read_field",
+    "rewind",
 ]
 
 MAX_HISTORY = 20
@@ -127,6 +128,22 @@
         node[edit.path[-1]] = edit.new
 
 
+def rewind(record: Record, version: int) -> Record:
+    """Return a record as it was at an earlier version, without history.
+
+    :raises RecordError: if the history does not reach back to it.
+    """
+    later = [c for c in record.history if c.version > version]
+    if len(later) != record.version - version or version < 1:
+        first = record.version - len(record.history)
+        allowed = f"use one from {first} to {record.version}"
+        raise RecordError("version", version, allowed)
+    rewound = msgspec.structs.replace(record, version=version, history=())
+    for change in reversed(later):
+        rewound = apply_edits(rewound, invert(change.edits))
+    return rewound
+
+
 def apply_change(
     record: Record,
     edits: tuple[Edit, ...],
--- /dev/null
+++ b/packages/briarford/src/briarford/presets/explain.py
@@ -0,0 +1,152 @@
+"""Says in plain sentences how the system behaves under a record."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from briarford.presets.schema import Admission, Limits, Quota, Record
+
+__all__ = ["explain", "explainer"]
+
+Explainer = Callable[[Record], list[str]]
+
+_explainers: list[Explainer] = []
+
+
+def explainer(function: Explainer) -> Explainer:
+    """Register a function that gives sentences about a record."""
+    _explainers.append(function)
+    return function
+
+
+def explain(record: Record) -> list[str]:
+    """Return sentences that let a newcomer predict the behaviour."""
+    return [line for function in _explainers for line in function(record)]
+
+
+@explainer
+def explain_change(record: Record) -> list[str]:
+    """Explain which preset is in force and since when."""
+    lines = [
+        f"Preset '{record.active}' is in force "
+        f"(record version {record.version}): {record.in_force.summary}"
+    ]
+    if record.history:
+        last = record.history[-1]
+        lines.append(
+            f"The last change was made by {last.who} at "
+            f"{_format_time(last.when)}: {last.why}"
+        )
+    return lines
+
+
+@explainer
+def explain_quotas(record: Record) -> list[str]:
+    """Explain what each team may use."""
+    preset = record.in_force
+    lines = [
+        f"Team '{team}' {_describe_quota(quota)}."
+        for team, quota in sorted(preset.quotas.items())
+    ]
+    who = "Any other team" if lines else "Each team"
+    lines.append(f"{who} {_describe_quota(preset.default_quota)}.")
+    lines.append(
+        "A team at its quota waits; nothing that has started is cut off "
+        "when a quota is lowered."
+    )
+    return lines
+
+
+def _describe_quota(quota: Quota) -> str:
+    if quota.slots == 0:
+        return "starts nothing: its quota is 0 slots"
+    return (
+        f"runs at most {quota.slots} tasks at the same time, and counts "
+        f"with weight {quota.weight:g} when teams compete for free slots"
+    )
+
+
+@explainer
+def explain_admission(record: Record) -> list[str]:
+    """Explain which jobs are refused."""
+    limits = record.in_force.limits
+    lines = [
+        "A job is refused at once, and has not run, if it would leave more "
+        f"than {limits.queue_bound} tasks waiting at its entry."
+    ]
+    if limits.admission is Admission.DEADLINE:
+        lines.append(
+            f"It is refused too if {limits.admission_factor:g} times its "
+            "estimated time does not fit before its deadline."
+        )
+    else:
+        lines.append("Its deadline is not weighed when it is taken in.")
+    return lines
+
+
+@explainer
+def explain_placement(record: Record) -> list[str]:
+    """Explain how workers are chosen."""
+    placement = record.in_force.placement
+    lines = [
+        f"Entries choose workers by '{placement.strategy}', with weight "
+        f"{placement.zone_weight:g} for their own availability zone and "
+        f"{placement.speed_weight:g} for speed."
+    ]
+    if placement.prefetch:
+        lines.append(
+            f"At most {placement.prefetch} waiting per slot of a worker are "
+            "sent ahead, which hides the round trip."
+        )
+    else:
+        lines.append(
+            "No task is sent ahead to a worker; all wait at the entries."
+        )
+    return lines
+
+
+@explainer
+def explain_extra_starts(record: Record) -> list[str]:
+    """Explain retries and hedges."""
+    limits = record.in_force.limits
+    return [
+        f"Retries make up at most {limits.retry_share:.0%} of first tries; "
+        f"{_describe_hedges(limits)}"
+    ]
+
+
+def _describe_hedges(limits: Limits) -> str:
+    if limits.hedge_share == 0:
+        return "no second copies are started."
+    return (
+        "second copies of idempotent requests at most "
+        f"{limits.hedge_share:.0%}."
+    )
+
+
+@explainer
+def explain_guards(record: Record) -> list[str]:
+    """Explain when workers are taken out."""
+    limits = record.in_force.limits
+    return [
+        f"A worker at which {limits.guard_jobs} different jobs fail in a row "
+        "is withdrawn and probed; guards take out at most "
+        f"{limits.guard_share:.0%} of a service's workers."
+    ]
+
+
+@explainer
+def explain_drains(record: Record) -> list[str]:
+    """Explain which workers get no new work."""
+    if not record.drains:
+        return ["No worker is drained."]
+    return [
+        f"Worker '{name}' gets no new work: {drain.why} ({drain.who}, "
+        f"{_format_time(drain.since)}). What it runs goes on."
+        for name, drain in sorted(record.drains.items())
+    ]
+
+
+def _format_time(when: float) -> str:
+    return time.strftime("%Y-%m-%d %H:%M UTC", time.gmtime(when))
--- /dev/null
+++ b/packages/briarford/src/briarford/presets/field_effects.py
@@ -0,0 +1,127 @@
+"""What a change of each field does to queued and to running work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from briarford.presets.schema import Path, Record
+
+__all__ = ["FIELD_EFFECTS", "FieldEffect", "find_effect", "list_effects"]
+
+ANY = "*"
+NOTHING = "goes on"
+
+
+@dataclass(slots=True, frozen=True)
+class FieldEffect:
+    """The effect of changing one field.
+
+    :param path: names that lead to it; ``*`` stands for any name.
+    :param meaning: what the field is, in a few words.
+    :param queued: what happens to work that waits at an entry.
+    :param running: what happens to work that has started.
+    """
+
+    path: Path
+    meaning: str
+    queued: str
+    running: str = NOTHING
+
+    @property
+    def dotted(self) -> str:
+        """The path as operators write it."""
+        return ".".join(self.path)
+
+
+def _preset(field: str, meaning: str, queued: str) -> FieldEffect:
+    path = ("presets", ANY, *field.split("."))
+    return FieldEffect(path, meaning, queued)
+
+
+_QUOTA = "waits until the team is below its slots"
+_WEIGHT = "is ordered anew between teams"
+_PLACED = "is placed by the new rule"
+_KEPT = "stays queued; only new jobs are checked"
+_EXTRA = "is not affected"
+
+FIELD_EFFECTS: tuple[FieldEffect, ...] = (
+    FieldEffect(
+        ("active",),
+        "the preset in force",
+        "follows the new preset, field by field",
+    ),
+    _preset("summary", "what the preset is for", "not affected"),
+    _preset("default_quota.slots", "slots of a team not named", _QUOTA),
+    _preset("default_quota.weight", "weight of a team not named", _WEIGHT),
+    _preset("quotas.*.slots", "slots of a team", _QUOTA),
+    _preset("quotas.*.weight", "weight of a team", _WEIGHT),
+    _preset("placement.strategy", "how a worker is chosen", _PLACED),
+    _preset("placement.zone_weight", "pull of the entry's zone", _PLACED),
+    _preset("placement.speed_weight", "pull of fast workers", _PLACED),
+    _preset(
+        "placement.prefetch",
+        "tasks waiting at a worker per slot",
+        "is sent ahead up to the new number; what was sent ahead stays",
+    ),
+    _preset("limits.queue_bound", "tasks waiting at one entry", _KEPT),
+    _preset("limits.admission", "which jobs are taken in", _KEPT),
+    _preset("limits.admission_factor", "margin on the estimate", _KEPT),
+    _preset("limits.retry_share", "retries per first try", _EXTRA),
+    _preset("limits.hedge_share", "second copies per first try", _EXTRA),
+    _preset(
+        "limits.guard_jobs",
+        "failed jobs in a row that withdraw a worker",
+        "not affected; workers that are out stay out until they pass a probe",
+    ),
+    _preset(
+        "limits.guard_share",
+        "share of workers that guards may take out",
+        "not affected; workers that are out stay out until they pass a probe",
+    ),
+    FieldEffect(
+        ("drains", ANY),
+        "a worker without new work",
+        "is placed on workers that are not drained",
+    ),
+)
+
+
+def find_effect(path: Path) -> FieldEffect | None:
+    """Return the effect of one field; None for a group of fields."""
+    for effect in FIELD_EFFECTS:
+        if _matches(effect.path, path):
+            return effect
+    return None
+
+
+def list_effects(before: Record, after: Record) -> list[tuple[Path, str, str]]:
+    """Return the fields in force that differ, with both values as text."""
+    old = _flatten(before)
+    new = _flatten(after)
+    return [
+        (path, old.get(path, "-"), new.get(path, "-"))
+        for path in sorted({*old, *new})
+        if old.get(path) != new.get(path)
+    ]
+
+
+def _flatten(record: Record) -> dict[Path, str]:
+    """Return what is in force, under the paths of the active preset."""
+    preset = record.in_force
+    fields: dict[Path, str] = {("active",): record.active}
+    for group in ("default_quota", "placement", "limits"):
+        part = getattr(preset, group)
+        for name in part.__struct_fields__:
+            fields[group, name] = str(getattr(part, name))
+    for team, quota in preset.quotas.items():
+        fields["quotas", team, "slots"] = str(quota.slots)
+        fields["quotas", team, "weight"] = str(quota.weight)
+    for worker, drain in record.drains.items():
+        fields["drains", worker] = drain.why
+    return fields
+
+
+def _matches(pattern: Path, path: Path) -> bool:
+    if len(pattern) != len(path):
+        return False
+    return all(p in (ANY, q) for p, q in zip(pattern, path, strict=True))
