Let presets name the numbers that placement and limits use

Cause: placement and limits landed with numbers of their own; speed_weight, prefetch and guard_jobs of the record had no effect, so 'explain' would have promised what nothing does. Open: PlacementConfig has no default quota and no drained workers yet.

--- a/packages/briarford/src/briarford/presets/__init__.py
+++ b/packages/briarford/src/briarford/presets/__init__.py
@@ -17,9 +17,13 @@
     read_field,
     rewind,
 )
-from briarford.presets.field_effects import FIELD_EFFECTS, find_effect, list_effects
 from briarford.presets.exceptions import RecordError
 from briarford.presets.explain import explain
+from briarford.presets.field_effects import (
+    FIELD_EFFECTS,
+    find_effect,
+    list_effects,
+)
 from briarford.presets.holder import Adopted, Ignored, PresetHolder
 from briarford.presets.messages import (
     Accepted,
--- a/packages/briarford/src/briarford/presets/defaults.py
+++ b/packages/briarford/src/briarford/presets/defaults.py
@@ -14,6 +14,7 @@
 __all__ = ["PRESET_KEY", "make_default_record"]
 
 PRESET_KEY = "briarford/presets"
+STRATEGY = "soonest-end"
 
 
 def make_default_record() -> Record:
@@ -33,8 +34,8 @@
 def _make_ordinary() -> Preset:
     return Preset(
         summary="Ordinary days: short waits, few wasted messages.",
-        default_quota=Quota(slots=64),
-        placement=Placement(strategy="most-credits"),
+        default_quota=Quota(slots=None),
+        placement=Placement(strategy=STRATEGY),
         limits=Limits(),
     )
 
@@ -42,8 +43,8 @@
 def _make_peak() -> Preset:
     return Preset(
         summary="Peaks: refuse early, make no second copies.",
-        default_quota=Quota(slots=48),
-        placement=Placement(strategy="most-credits", prefetch=1),
+        default_quota=Quota(slots=None),
+        placement=Placement(strategy=STRATEGY, urgent_margin=3.0),
         limits=Limits(
             queue_bound=5_000,
             admission_factor=1.5,
@@ -55,13 +56,8 @@
 
 def _make_maintenance() -> Preset:
     return Preset(
-        summary="Maintenance: half of the load while workers are replaced.",
-        default_quota=Quota(slots=32),
-        placement=Placement(strategy="most-credits", zone_weight=0.0),
-        limits=Limits(
-            queue_bound=10_000,
-            retry_share=0.2,
-            hedge_share=0.0,
-            guard_share=0.1,
-        ),
+        summary="Maintenance: more retries while workers are replaced.",
+        default_quota=Quota(slots=None),
+        placement=Placement(strategy=STRATEGY, zone_penalty_ms=0.0),
+        limits=Limits(retry_share=0.2, hedge_share=0.0, guard_share=0.1),
     )
--- a/packages/briarford/src/briarford/presets/effects.py
+++ b/packages/briarford/src/briarford/presets/effects.py
@@ -8,14 +8,16 @@
 
 __all__ = ["limit_config", "placement_config"]
 
-MAX_ZONE_PENALTY_MS = 12.0
-
 
 def placement_config(preset: Preset) -> PlacementConfig:
     """Return the numbers of placement that a preset puts in force."""
+    placement = preset.placement
     return PlacementConfig(
-        strategy=preset.placement.strategy,
-        zone_penalty_ms=preset.placement.zone_weight * MAX_ZONE_PENALTY_MS,
+        strategy=placement.strategy,
+        zone_penalty_ms=placement.zone_penalty_ms,
+        leave_slow_slots=placement.leave_slow_slots,
+        aging_weight=placement.aging_weight,
+        urgent_margin=placement.urgent_margin,
         quotas={t: _team_quota(q) for t, q in preset.quotas.items()},
     )
 
@@ -29,7 +31,9 @@
         refuse_unreachable=limits.admission is Admission.DEADLINE,
         retry_share=limits.retry_share,
         hedge_share=limits.hedge_share,
+        hedge_after_ratio=limits.hedge_after_ratio,
         guard_share=limits.guard_share,
+        concurrency_guard=limits.concurrency_guard,
     )
 
 
--- a/packages/briarford/src/briarford/presets/explain.py
+++ b/packages/briarford/src/briarford/presets/explain.py
@@ -61,6 +61,11 @@
 def _describe_quota(quota: Quota) -> str:
     if quota.slots == 0:
         return "starts nothing: its quota is 0 slots"
+    if quota.slots is None:
+        return (
+            "may use all slots, and counts with weight "
+            f"{quota.weight:g} when teams compete for them"
+        )
     return (
         f"runs at most {quota.slots} tasks at the same time, and counts "
         f"with weight {quota.weight:g} when teams compete for free slots"
@@ -89,21 +94,16 @@
 def explain_placement(record: Record) -> list[str]:
     """Explain how workers are chosen."""
     placement = record.in_force.placement
-    lines = [
-        f"Entries choose workers by '{placement.strategy}', with weight "
-        f"{placement.zone_weight:g} for their own availability zone and "
-        f"{placement.speed_weight:g} for speed."
+    slow = "may stay empty" if placement.leave_slow_slots else "is always used"
+    return [
+        f"Entries choose workers by '{placement.strategy}'; a worker of "
+        "another availability zone is preferred if it ends a task more than "
+        f"{placement.zone_penalty_ms:g} ms sooner.",
+        f"A slow slot {slow} when waiting for a fast one ends the job sooner.",
+        "Shorter jobs go first; a waiting job gains on them with weight "
+        f"{placement.aging_weight:g}, and goes first once its deadline is "
+        f"closer than {placement.urgent_margin:g} times its remaining time.",
     ]
-    if placement.prefetch:
-        lines.append(
-            f"At most {placement.prefetch} waiting per slot of a worker are "
-            "sent ahead, which hides the round trip."
-        )
-    else:
-        lines.append(
-            "No task is sent ahead to a worker; all wait at the entries."
-        )
-    return lines
 
 
 @explainer
@@ -121,7 +121,8 @@
         return "no second copies are started."
     return (
         "second copies of idempotent requests at most "
-        f"{limits.hedge_share:.0%}."
+        f"{limits.hedge_share:.0%}, each once a request has run "
+        f"{limits.hedge_after_ratio:g} times its expected time."
     )
 
 
@@ -129,11 +130,17 @@
 def explain_guards(record: Record) -> list[str]:
     """Explain when workers are taken out."""
     limits = record.in_force.limits
-    return [
-        f"A worker at which {limits.guard_jobs} different jobs fail in a row "
-        "is withdrawn and probed; guards take out at most "
-        f"{limits.guard_share:.0%} of a service's workers."
+    lines = [
+        "A worker that fails the tasks of different jobs is held back and "
+        f"probed; guards hold back at most {limits.guard_share:.0%} of a "
+        "service's workers."
     ]
+    if limits.concurrency_guard:
+        lines.append(
+            "An agent sends fewer tasks at the same time to a backend "
+            "server that slows down under them."
+        )
+    return lines
 
 
 @explainer
--- a/packages/briarford/src/briarford/presets/field_effects.py
+++ b/packages/briarford/src/briarford/presets/field_effects.py
@@ -41,6 +41,8 @@
 _QUOTA = "waits until the team is below its slots"
 _WEIGHT = "is ordered anew between teams"
 _PLACED = "is placed by the new rule"
+_ORDERED = "is ordered anew"
+_GUARD = "is placed on workers that no guard holds back"
 _KEPT = "stays queued; only new jobs are checked"
 _EXTRA = "is not affected"
 
@@ -56,28 +58,18 @@
     _preset("quotas.*.slots", "slots of a team", _QUOTA),
     _preset("quotas.*.weight", "weight of a team", _WEIGHT),
     _preset("placement.strategy", "how a worker is chosen", _PLACED),
-    _preset("placement.zone_weight", "pull of the entry's zone", _PLACED),
-    _preset("placement.speed_weight", "pull of fast workers", _PLACED),
-    _preset(
-        "placement.prefetch",
-        "tasks waiting at a worker per slot",
-        "is sent ahead up to the new number; what was sent ahead stays",
-    ),
+    _preset("placement.zone_penalty_ms", "pull of the own zone", _PLACED),
+    _preset("placement.leave_slow_slots", "may slots stay empty", _PLACED),
+    _preset("placement.aging_weight", "gain of waiting jobs", _ORDERED),
+    _preset("placement.urgent_margin", "when a job goes first", _ORDERED),
     _preset("limits.queue_bound", "tasks waiting at one entry", _KEPT),
     _preset("limits.admission", "which jobs are taken in", _KEPT),
     _preset("limits.admission_factor", "margin on the estimate", _KEPT),
     _preset("limits.retry_share", "retries per first try", _EXTRA),
     _preset("limits.hedge_share", "second copies per first try", _EXTRA),
-    _preset(
-        "limits.guard_jobs",
-        "failed jobs in a row that withdraw a worker",
-        "not affected; workers that are out stay out until they pass a probe",
-    ),
-    _preset(
-        "limits.guard_share",
-        "share of workers that guards may take out",
-        "not affected; workers that are out stay out until they pass a probe",
-    ),
+    _preset("limits.hedge_after_ratio", "when a copy is made", _EXTRA),
+    _preset("limits.guard_share", "workers that guards take out", _GUARD),
+    _preset("limits.concurrency_guard", "guard against overload", _GUARD),
     FieldEffect(
         ("drains", ANY),
         "a worker without new work",
--- a/packages/briarford/src/briarford/presets/schema.py
+++ b/packages/briarford/src/briarford/presets/schema.py
@@ -48,11 +48,12 @@
 class Quota(msgspec.Struct, frozen=True):
     """What one team may use.
 
-    :param slots: tasks that the team runs at the same time, at all workers.
+    :param slots: tasks that the team runs at the same time, at all workers;
+        None for no limit.
     :param weight: its part of the free slots when teams compete.
     """
 
-    slots: Annotated[int, Meta(ge=0, le=1_000_000)]
+    slots: Annotated[int, Meta(ge=0, le=1_000_000)] | None
     weight: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
 
 
@@ -60,15 +61,20 @@
     """How entries choose a worker for a task.
 
     :param strategy: name of a registered placement strategy.
-    :param zone_weight: how much the entry's own availability zone counts.
-    :param speed_weight: how much the learnt speed of a worker counts.
-    :param prefetch: tasks that may wait at a worker for each of its slots.
+    :param zone_penalty_ms: how much sooner a worker of another availability
+        zone must end a task to be preferred.
+    :param leave_slow_slots: whether a slow slot stays empty when waiting for
+        a fast one ends the job sooner.
+    :param aging_weight: how fast a waiting job gains on shorter ones.
+    :param urgent_margin: a job goes first once its deadline is closer than
+        this many times its remaining time.
     """
 
     strategy: Annotated[str, Meta(min_length=1, max_length=64)]
-    zone_weight: Share = 0.5
-    speed_weight: Share = 0.5
-    prefetch: Annotated[int, Meta(ge=0, le=8)] = 0
+    zone_penalty_ms: Annotated[float, Meta(ge=0.0, le=10_000.0)] = 3.0
+    leave_slow_slots: bool = True
+    aging_weight: Annotated[float, Meta(ge=0.0, le=100.0)] = 1.0
+    urgent_margin: Annotated[float, Meta(ge=0.0, le=100.0)] = 2.0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -81,19 +87,22 @@
     :param retry_share: retries as a share of first tries.
     :param hedge_share: second copies of idempotent requests as a share of
         first tries.
-    :param guard_jobs: different jobs that must fail in a row at a worker
-        before its agent withdraws it.
+    :param hedge_after_ratio: a request is hedged once it has run this many
+        times its expected time.
     :param guard_share: largest share of a service's workers that guards
         may take out.
+    :param concurrency_guard: whether agents lower the number of tasks at a
+        backend server that slows down under them.
     """
 
-    queue_bound: Annotated[int, Meta(ge=1, le=10_000_000)] = 20_000
+    queue_bound: Annotated[int, Meta(ge=1, le=10_000_000)] = 10_000
     admission: Admission = Admission.DEADLINE
-    admission_factor: Annotated[float, Meta(ge=0.1, le=10.0)] = 1.0
+    admission_factor: Annotated[float, Meta(ge=0.1, le=10.0)] = 1.2
     retry_share: Share = 0.1
-    hedge_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.02
-    guard_jobs: Annotated[int, Meta(ge=1, le=1000)] = 3
-    guard_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.25
+    hedge_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.05
+    hedge_after_ratio: Annotated[float, Meta(ge=1.0, le=100.0)] = 3.0
+    guard_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.3
+    concurrency_guard: bool = True
 
 
 class Preset(msgspec.Struct, frozen=True):
