--- a/packages/briarford-bench/src/briarford_bench/commands.py
+++ b/packages/briarford-bench/src/briarford_bench/commands.py
@@ -12,6 +12,7 @@
 from briarford_bench.compare import LOADS, compare
 from briarford_bench.profiles import find_profile
 from briarford_bench.slopes import measure_slopes
+from briarford_bench.throughput import measure_throughput
 
 __all__ = ["bench_app"]
 
@@ -57,6 +58,32 @@
     _print({"slopes": slopes})
 
 
+@bench_app.command(name="throughput")
+def throughput_command(
+    *,
+    seconds: float = DEFAULT_SECONDS,
+    workers: int = 200,
+    run_ms: float = 400.0,
+    log_level: str = "info",
+    profile: str = "",
+    format: Format = "json",
+) -> None:
+    """Measure how many task starts a second one entry process carries.
+
+    :param seconds: length of the measurement.
+    :param workers: workers of 8 slots.
+    :param run_ms: mean run time of a task in milliseconds.
+    :param log_level: of the entry; info logs each decision.
+    :param profile: file for a profile of the entry; empty for none.
+    :param format: how the figures are printed.
+    """
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        result = runner.run(
+            measure_throughput(seconds, workers, run_ms, log_level, profile)
+        )
+    _print({"log_level": log_level, "throughput": result})
+
+
 def _print(document: object) -> None:
     data = msgspec.json.encode(document)
     print(msgspec.json.format(data, indent=1).decode())
--- a/packages/briarford-bench/src/briarford_bench/daemons.py
+++ b/packages/briarford-bench/src/briarford_bench/daemons.py
@@ -62,11 +62,13 @@
 
     :param role: entry or agent.
     :param settings: its settings as TOML.
+    :param profile: file that gets a profile of the process; empty for none.
     """
 
-    def __init__(self, role: str, settings: str) -> None:
+    def __init__(self, role: str, settings: str, profile: str = "") -> None:
         self._role = role
         self._settings = settings
+        self._profile = profile
         self._dir: tempfile.TemporaryDirectory[str]
         self._process: asyncio.subprocess.Process
 
@@ -77,6 +79,7 @@
         path.write_text(self._settings, encoding="utf-8")
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
+            *self._profiler(),
             "-m",
             "briarford_daemon.main",
             self._role,
@@ -86,6 +89,11 @@
             stderr=asyncio.subprocess.DEVNULL,
         )
 
+    def _profiler(self) -> list[str]:
+        if not self._profile:
+            return []
+        return ["-m", "cProfile", "-o", self._profile]
+
     def read(self) -> Reading:
         """Read what the process has used so far."""
         process = psutil.Process(self._process.pid)
