--- a/packages/briarford-bench/src/briarford_bench/commands.py
+++ b/packages/briarford-bench/src/briarford_bench/commands.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from briarford_bench.compare import LOADS, compare
+from briarford_bench.experiments import run_experiments
 from briarford_bench.profiles import find_profile
 from briarford_bench.slopes import measure_slopes
 from briarford_bench.throughput import measure_throughput
@@ -46,6 +47,26 @@
     _print({"profile": profile, "seed": seed, "rounds": rounds})
 
 
+@bench_app.command(name="experiment")
+def experiment_command(
+    *names: str,
+    profile: str = "kyklos",
+    seed: int = 7,
+    seconds: float = DEFAULT_SECONDS,
+    format: Format = "json",
+) -> None:
+    """Run faults and odd loads through both dispatchers.
+
+    :param names: which experiments; all if none is given.
+    :param profile: kyklos or baridi.
+    :param seed: seed of the traces.
+    :param seconds: length of each trace.
+    :param format: how the figures are printed.
+    """
+    results = run_experiments(names, find_profile(profile), seed, seconds)
+    _print({"profile": profile, "seed": seed, "experiments": results})
+
+
 @bench_app.command(name="slopes")
 def slopes_command(*names: str, format: Format = "json") -> None:
     """Measure how the daemons' use of the machine grows.
--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/experiments.py
@@ -0,0 +1,142 @@
+"""Faults and odd loads that both dispatchers are put through."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+from briarford.exceptions import UnknownNameError
+from briarford_bench.compare import SYSTEMS, Plan, Round, run_round
+from briarford_bench.profiles import Profile
+from briarford_bench.trace import make_trace
+
+__all__ = ["Experiment", "experiment", "run_experiments"]
+
+LOAD = 0.7
+OVERLOAD = 3.0
+BURST_AT_S = 5.0
+BURST_SPAN_S = 5.0
+POISON_EVERY = 10
+CANCEL_EVERY = 2
+CANCEL_AT_S = 6.0
+MIXED_SPEEDS = (2.0, 2.0, 2.0, 1.0, 1.0, 1.0, 1.0, 0.5, 0.5, 0.25, 0.25)
+
+
+@dataclass(slots=True, frozen=True)
+class Experiment:
+    """Figures of both dispatchers in one experiment."""
+
+    name: str
+    rounds: tuple[Round, ...]
+
+
+MakePlan = Callable[[Profile, float, int], Plan]
+
+_experiments: dict[str, MakePlan] = {}
+
+
+def experiment(name: str) -> Callable[[MakePlan], MakePlan]:
+    """Register how to make the plan of an experiment under a name."""
+
+    def register(make: MakePlan) -> MakePlan:
+        _experiments[name] = make
+        return make
+
+    return register
+
+
+def run_experiments(
+    names: Sequence[str], profile: Profile, seed: int, seconds: float
+) -> list[Experiment]:
+    """Run experiments, one after the other.
+
+    :param names: which; all if empty.
+    :param seconds: length of each trace.
+    :raises UnknownNameError: if there is no experiment of a name.
+    """
+    for name in names:
+        if name not in _experiments:
+            raise UnknownNameError("experiment", name, list(_experiments))
+    return [
+        _run(name, _experiments[name](profile, seconds, seed))
+        for name in names or _experiments
+    ]
+
+
+def _run(name: str, plan: Plan) -> Experiment:
+    rounds = tuple([run_round(system, plan) for system in SYSTEMS])
+    return Experiment(name, rounds)
+
+
+def _plan(profile: Profile, load: float, seconds: float, seed: int) -> Plan:
+    trace = make_trace(profile, load, seconds, seed)
+    return Plan(profile, load, seconds, seed, trace)
+
+
+@experiment("black-hole")
+def black_hole(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Let the first worker fail all that it starts, at once."""
+    plan = _plan(profile, LOAD, seconds, seed)
+    return replace(plan, faults={0: {"fail_all": True}})
+
+
+@experiment("poison")
+def poison(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Let each tenth job fail wherever it runs."""
+    plan = _plan(profile, LOAD, seconds, seed)
+    trace = [
+        replace(a, poison=index % POISON_EVERY == 0)
+        for index, a in enumerate(plan.trace)
+    ]
+    return replace(plan, trace=trace)
+
+
+@experiment("burst")
+def burst(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Send what is due within five seconds all at once."""
+    plan = _plan(profile, LOAD, seconds, seed)
+    until = BURST_AT_S + BURST_SPAN_S
+    trace = [
+        replace(a, at=BURST_AT_S) if BURST_AT_S < a.at < until else a
+        for a in plan.trace
+    ]
+    return replace(plan, trace=trace)
+
+
+@experiment("mixed-speeds")
+def mixed_speeds(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Let the workers' speeds differ eightfold."""
+    mixed = replace(profile, speeds=MIXED_SPEEDS)
+    return _plan(mixed, LOAD, seconds, seed)
+
+
+@experiment("cancellation-wave")
+def cancellation_wave(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Cancel half of the jobs sent so far at one moment."""
+    plan = _plan(profile, LOAD, seconds, seed)
+    trace = [
+        replace(a, cancel_at=CANCEL_AT_S)
+        if a.at < CANCEL_AT_S and index % CANCEL_EVERY == 0
+        else a
+        for index, a in enumerate(plan.trace)
+    ]
+    return replace(plan, trace=trace)
+
+
+@experiment("lopsided-entries")
+def lopsided_entries(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Send everything to one entry."""
+    return replace(_plan(profile, LOAD, seconds, seed), entries=1)
+
+
+@experiment("silent-worker")
+def silent_worker(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Let the first worker run what it starts and never answer."""
+    plan = _plan(profile, LOAD, seconds, seed)
+    return replace(plan, faults={0: {"silent": True}})
+
+
+@experiment("overload")
+def overload(profile: Profile, seconds: float, seed: int) -> Plan:
+    """Offer three times the capacity."""
+    return _plan(profile, OVERLOAD, seconds, seed)
--- a/packages/briarford-bench/src/briarford_bench/load.py
+++ b/packages/briarford-bench/src/briarford_bench/load.py
@@ -63,6 +63,7 @@
         self._entries = itertools.cycle(entries)
         self._service = service
         self._ids: dict[str, list[str]] = {entry: [] for entry in entries}
+        self._cancels: set[asyncio.Task[None]] = set()
         self._http: aiohttp.ClientSession
 
     async def run(self, trace: Sequence[Arrival]) -> list[Sample]:
@@ -77,7 +78,9 @@
                 asyncio.create_task(self._send(arrival, started_at))
                 for arrival in trace
             ]
-            return list(await asyncio.gather(*tasks))
+            samples = list(await asyncio.gather(*tasks))
+            await asyncio.gather(*self._cancels, return_exceptions=True)
+            return samples
 
     async def _mint(self, entry: str) -> None:
         url = f"http://{entry}/v1/jobs?count={MINT_COUNT}"
@@ -125,6 +128,7 @@
         else:
             method = "PUT"
             url = f"http://{entry}/v1/jobs/{await self._next_id(entry)}"
+            self._plan_cancel(arrival, url, deadline - arrival.deadline)
         body = self._body(arrival)
         async with self._http.request(
             method, url, json=body, headers=headers
@@ -132,6 +136,22 @@
             data = await response.read()
             return _judge(arrival, response.status, data)
 
+    def _plan_cancel(
+        self, arrival: Arrival, url: str, started_at: float
+    ) -> None:
+        if arrival.cancel_at is None:
+            return
+        task = asyncio.create_task(
+            self._cancel(url, started_at + arrival.cancel_at)
+        )
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel(self, url: str, at: float) -> None:
+        await asyncio.sleep(max(0.0, at - time.time()))
+        async with self._http.delete(url):
+            pass
+
     async def _next_id(self, entry: str) -> str:
         if not self._ids[entry]:
             await self._mint(entry)
--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -50,6 +50,9 @@
     def starts(self) -> list[Start]:
         """Return what the backend servers started."""
 
+    def decisions(self) -> Counter[str]:
+        """Count the decisions of the daemons, by name."""
+
 
 class _Base:
     """What both systems share: the backend servers and the network."""
@@ -116,6 +119,15 @@
         counts["bounce"] += MESSAGES_PER_BOUNCE * bounces
         return counts
 
+    def decisions(self) -> Counter[str]:
+        """Count the decisions of the daemons, by name."""
+        counts: Counter[str] = Counter()
+        for entry in self.entries:
+            counts += entry.daemon.metrics.decisions
+        for agent in self.agents:
+            counts += agent.daemon.metrics.decisions
+        return counts
+
     def _knows_all(self, entry: EntryProcess) -> bool:
         workers = entry.daemon.core.placer.workers
         return len(workers) == len(self._profile.speeds)
@@ -219,6 +231,10 @@
         """Count messages that contributed to no answer, by kind."""
         return sum((e.messages for e in self.entries), Counter())
 
+    def decisions(self) -> Counter[str]:
+        """Return nothing: a naive entry logs no decisions."""
+        return Counter()
+
 
 def batch_kind(message: AgentBatch | EntryBatch) -> str:
     """Name the kind of waste that a batch is; empty if it is none.
--- a/packages/briarford-bench/src/briarford_bench/trace.py
+++ b/packages/briarford-bench/src/briarford_bench/trace.py
@@ -36,6 +36,7 @@
     :param single: whether it is a single request.
     :param idempotent: whether it may run again.
     :param poison: whether each of its tasks fails wherever it runs.
+    :param cancel_at: when the client gives it up, if it does.
     """
 
     at: float
@@ -46,6 +47,7 @@
     single: bool
     idempotent: bool = False
     poison: bool = False
+    cancel_at: float | None = None
 
     @property
     def work_s(self) -> float:
