--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/capacity.py
@@ -0,0 +1,154 @@
+"""Works out what each role needs at full size from measured slopes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from briarford_bench.fleet import FleetSize
+from briarford_bench.slopes import Fit, Slope
+
+__all__ = ["FullSize", "Row", "capacity_tables", "work_out"]
+
+
+SLOPE_AGENTS = FleetSize().agents  # they share the tasks of a data slope
+
+
+@dataclass(slots=True, frozen=True)
+class FullSize:
+    """The size to work out, and what is assumed of it.
+
+    :param workers: workers, each with one agent.
+    :param starts_per_s: task starts a second at the peak.
+    :param teams: teams with quotas.
+    :param tasks_per_job: mean tasks in a job.
+    :param busy_percent: processor use that an entry is planned for, percent
+        of one core.
+    :param remembered_s: seconds for which an ended job is remembered.
+    :param entries_per_agent: entries that an agent attaches to, if agents
+        attach to a subset.
+    """
+
+    workers: int = 5000
+    starts_per_s: float = 170_000.0
+    teams: int = 69
+    tasks_per_job: float = 24.0
+    busy_percent: float = 70.0
+    remembered_s: float = 180.0
+    entries_per_agent: int = 4
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """One figure at full size.
+
+    :param role: entry or agent.
+    :param what: what it is.
+    :param every_entry: value if each agent attaches to every entry.
+    :param subset: value if each agent attaches to a few entries.
+    :param unit: its unit.
+    :param bound: what it may be, None if no bound is set.
+    """
+
+    role: str
+    what: str
+    every_entry: float
+    subset: float
+    unit: str
+    bound: float | None = None
+
+
+def work_out(slopes: Sequence[Slope], size: FullSize) -> list[Row]:
+    """Work out the figures at full size by following the lines.
+
+    :param slopes: at least agents, entries, tasks-per-s-logged,
+        remembered-jobs and teams.
+    """
+    return list(_rows({s.name: s.fits for s in slopes}, size))
+
+
+def _rows(fits: dict[str, dict[str, Fit]], size: FullSize) -> Iterator[Row]:
+    per_task = fits["tasks-per-s-logged"]["entry.processor_percent"].per_unit
+    entries = math.ceil(size.starts_per_s * per_task / size.busy_percent)
+    attached = size.workers * min(1.0, size.entries_per_agent / entries)
+    per_entry_starts = size.starts_per_s / entries
+    yield Row("entry", "entries needed for data", entries, entries, "")
+    yield Row(
+        "entry",
+        "task starts",
+        per_entry_starts,
+        per_entry_starts,
+        "/s",
+    )
+    yield Row("entry", "agents attached", size.workers, attached, "")
+    yield from _control(
+        fits["agents"], "entry", size.workers, attached, "control"
+    )
+    yield from _control(
+        fits["entries"], "agent", entries, size.entries_per_agent, "control"
+    )
+    remembered = per_entry_starts / size.tasks_per_job * size.remembered_s
+    per_job_mb = fits["remembered-jobs"]["entry.memory_mb"].per_unit
+    yield Row("entry", "jobs remembered", remembered, remembered, "")
+    memory_mb = remembered * per_job_mb
+    yield Row("entry", "memory of those", memory_mb, memory_mb, "MB")
+    per_team = fits["teams"]["entry.processor_percent"].per_unit
+    teams = size.teams * per_team
+    yield Row("entry", "processor for 69 teams", teams, teams, "% core")
+    starts = size.starts_per_s / size.workers
+    per_start = fits["tasks-per-s-logged"]["agent.processor_percent"].per_unit
+    data = starts * per_start * SLOPE_AGENTS
+    yield Row("agent", "task starts", starts, starts, "/s")
+    yield Row("agent", "processor for data", data, data, "% core")
+
+
+def _control(
+    fits: dict[str, Fit],
+    role: str,
+    every: float,
+    subset: float,
+    kind: str,
+) -> Iterator[Row]:
+    resources = (
+        ("processor", "processor_percent", "% core", 2.5),
+        ("memory", "memory_mb", "MB", 128.0),
+        ("bytes", "kb_per_s", "KB/s", 4.0),
+    )
+    for what, key, unit, bound in resources:
+        fit = fits[f"{role}.{key}"]
+        yield Row(
+            role,
+            f"{kind} {what}",
+            fit.base + fit.per_unit * every,
+            fit.base + fit.per_unit * subset,
+            unit,
+            bound,
+        )
+
+
+def capacity_tables(slopes: Sequence[Slope], size: FullSize) -> str:
+    """Return the tables of the capacity page as Markdown."""
+    return "\n".join([*_slope_lines(slopes), "", *_size_lines(slopes, size)])
+
+
+def _slope_lines(slopes: Sequence[Slope]) -> Iterator[str]:
+    yield "| slope | kind | use | at zero | for one more | residual |"
+    yield "|---|---|---|---|---|---|"
+    for slope in slopes:
+        for name, fit in slope.fits.items():
+            yield (
+                f"| {slope.name} | {slope.kind} | {name} | {fit.base:.3g}"
+                f" | {fit.per_unit:.3g} | {fit.residual:.2g} |"
+            )
+
+
+def _size_lines(slopes: Sequence[Slope], size: FullSize) -> Iterator[str]:
+    yield "| role | what | every entry | few entries | unit | bound |"
+    yield "|---|---|---|---|---|---|"
+    for row in work_out(slopes, size):
+        bound = "" if row.bound is None else f"{row.bound:g}"
+        yield (
+            f"| {row.role} | {row.what} | {row.every_entry:.4g}"
+            f" | {row.subset:.4g} | {row.unit} | {bound} |"
+        )
--- a/packages/briarford-bench/src/briarford_bench/commands.py
+++ b/packages/briarford-bench/src/briarford_bench/commands.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 from typing import Literal
 
 import cyclopts
 import msgspec
 import uvloop
 
+from briarford_bench.capacity import FullSize, capacity_tables
 from briarford_bench.compare import LOADS, compare
 from briarford_bench.experiments import run_experiments
 from briarford_bench.profiles import find_profile
-from briarford_bench.slopes import measure_slopes
+from briarford_bench.slopes import Slope, measure_slopes
 from briarford_bench.throughput import measure_throughput
 
 __all__ = ["bench_app"]
@@ -26,6 +28,12 @@
 Format = Literal["json"]
 
 
+class _SlopesFile(msgspec.Struct):
+    """What ``slopes`` prints."""
+
+    slopes: list[Slope]
+
+
 @bench_app.command(name="compare")
 def compare_command(
     *,
@@ -79,6 +87,16 @@
     _print({"slopes": slopes})
 
 
+@bench_app.command(name="capacity")
+def capacity_command(slopes: Path) -> None:
+    """Print the tables of the capacity page as Markdown.
+
+    :param slopes: a file with the output of ``slopes``.
+    """
+    document = msgspec.json.decode(slopes.read_bytes(), type=_SlopesFile)
+    print(capacity_tables(document.slopes, FullSize()))
+
+
 @bench_app.command(name="throughput")
 def throughput_command(
     *,
