--- a/packages/briarford-bench/src/briarford_bench/fleet.py
+++ b/packages/briarford-bench/src/briarford_bench/fleet.py
@@ -54,6 +54,11 @@
         self._agents: list[AgentProcess] = []
         self._backends: list[BackendServer] = []
 
+    @property
+    def store_address(self) -> str:
+        """Where the key-value stand-in serves."""
+        return self._store.address
+
     async def start(self) -> None:
         """Start, and return once each entry knows each worker."""
         await self._store.start()
--- a/packages/briarford-bench/src/briarford_bench/slopes.py
+++ b/packages/briarford-bench/src/briarford_bench/slopes.py
@@ -15,6 +15,7 @@
 from briarford.exceptions import UnknownNameError
 from briarford_bench.daemons import Usage
 from briarford_bench.fleet import SERVICE, Fleet, FleetSize
+from briarford_bench.preset_changes import change_presets
 
 __all__ = [
     "Fit",
@@ -30,6 +31,7 @@
 SPAN_S = 6.0
 TASK_RUN_MS = 10.0
 MINT_COUNT = 1000
+JOBS_AT_ONCE = 25
 ANSWER_TIMEOUT_S = 30.0
 STATUS_OK = 200
 
@@ -44,6 +46,7 @@
     :param tasks_per_job: tasks in each job.
     :param teams: teams that send jobs in turn.
     :param jobs_before: jobs that end before the span begins.
+    :param changes_per_s: changes of the preset record a second.
     """
 
     x: float
@@ -52,6 +55,7 @@
     tasks_per_job: int = 10
     teams: int = 1
     jobs_before: int = 0
+    changes_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,6 +172,15 @@
     return [Workload(n, tasks_per_s=200, teams=n) for n in (1, 8, 32, 69)]
 
 
+@slope("preset-changes", "control")
+def vary_preset_changes() -> list[Workload]:
+    """Vary the changes of the preset record while no task runs."""
+    return [
+        Workload(rate, FleetSize(8, 2), changes_per_s=rate)
+        for rate in (0, 0.5, 1, 2, 4)
+    ]
+
+
 async def measure_slopes(names: Sequence[str] = ()) -> list[Slope]:
     """Measure slopes, one point after the other.
 
@@ -192,15 +205,29 @@
         await fleet.start()
         async with _Sender(fleet.addresses[0], workload) as sender:
             await sender.run_before()
-            sending = asyncio.create_task(sender.run())
+            work = [asyncio.create_task(sender.run())]
+            if workload.changes_per_s:
+                changing = change_presets(
+                    fleet.store_address, workload.changes_per_s
+                )
+                work.append(asyncio.create_task(changing))
             await asyncio.sleep(SETTLE_S)
             point = await _read_span(fleet, sender, workload)
-            sending.cancel()
+            await _end(work)
             return point
     finally:
         await fleet.stop()
 
 
+async def _end(work: Sequence[asyncio.Task[None]]) -> None:
+    """Cancel what runs; raise what has failed before."""
+    for task in work:
+        if task.done():
+            task.result()
+        task.cancel()
+    await asyncio.gather(*work, return_exceptions=True)
+
+
 async def _read_span(
     fleet: Fleet, sender: _Sender, workload: Workload
 ) -> Point:
@@ -249,8 +276,9 @@
 
     async def run_before(self) -> None:
         """Run the jobs that end before the span."""
-        for _ in range(self._workload.jobs_before):
-            await self._send_job()
+        for start in range(0, self._workload.jobs_before, JOBS_AT_ONCE):
+            count = min(JOBS_AT_ONCE, self._workload.jobs_before - start)
+            await asyncio.gather(*(self._send_job() for _ in range(count)))
 
     async def run(self) -> None:
         """Send jobs until cancelled, each when it is due."""
@@ -278,7 +306,7 @@
                 self.tasks_done += self._workload.tasks_per_job
 
     async def _next_id(self) -> str:
-        if not self._ids:
+        while not self._ids:
             async with self._http.post(
                 f"{self._url}?count={MINT_COUNT}"
             ) as response:
