--- a/packages/briarford-bench/src/briarford_bench/commands.py
+++ b/packages/briarford-bench/src/briarford_bench/commands.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import sys
+from pathlib import Path
 from typing import Literal
 
 import cyclopts
 import msgspec
 import uvloop
 
+from briarford_bench.capacity import FullSize, capacity_tables
 from briarford_bench.compare import LOADS, compare
+from briarford_bench.experiments import run_experiments
 from briarford_bench.profiles import find_profile
-from briarford_bench.slopes import measure_slopes
+from briarford_bench.slopes import Slope, measure_slopes
+from briarford_bench.throughput import measure_throughput
 
 __all__ = ["bench_app"]
 
@@ -25,6 +29,12 @@
 Format = Literal["json"]
 
 
+class _SlopesFile(msgspec.Struct):
+    """What ``slopes`` prints."""
+
+    slopes: list[Slope]
+
+
 @bench_app.command(name="compare")
 def compare_command(
     *,
@@ -46,6 +56,26 @@
     _print({"profile": profile, "seed": seed, "rounds": rounds})
 
 
+@bench_app.command(name="experiment")
+def experiment_command(
+    *names: str,
+    profile: str = "kyklos",
+    seed: int = 7,
+    seconds: float = DEFAULT_SECONDS,
+    format: Format = "json",
+) -> None:
+    """Run faults and odd loads through both dispatchers.
+
+    :param names: which experiments; all if none is given.
+    :param profile: kyklos or baridi.
+    :param seed: seed of the traces.
+    :param seconds: length of each trace.
+    :param format: how the figures are printed.
+    """
+    results = run_experiments(names, find_profile(profile), seed, seconds)
+    _print({"profile": profile, "seed": seed, "experiments": results})
+
+
 @bench_app.command(name="slopes")
 def slopes_command(*names: str, format: Format = "json") -> None:
     """Measure how the daemons' use of the machine grows.
@@ -58,6 +88,42 @@
     _print({"slopes": slopes})
 
 
+@bench_app.command(name="capacity")
+def capacity_command(slopes: Path) -> None:
+    """Print the tables of the capacity page as Markdown.
+
+    :param slopes: a file with the output of ``slopes``.
+    """
+    document = msgspec.json.decode(slopes.read_bytes(), type=_SlopesFile)
+    print(capacity_tables(document.slopes, FullSize()))
+
+
+@bench_app.command(name="throughput")
+def throughput_command(
+    *,
+    seconds: float = DEFAULT_SECONDS,
+    workers: int = 200,
+    run_ms: float = 400.0,
+    log_level: str = "info",
+    profile: str = "",
+    format: Format = "json",
+) -> None:
+    """Measure how many task starts a second one entry process carries.
+
+    :param seconds: length of the measurement.
+    :param workers: workers of 8 slots.
+    :param run_ms: mean run time of a task in milliseconds.
+    :param log_level: of the entry; info logs each decision.
+    :param profile: file for a profile of the entry; empty for none.
+    :param format: how the figures are printed.
+    """
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        result = runner.run(
+            measure_throughput(seconds, workers, run_ms, log_level, profile)
+        )
+    _print({"log_level": log_level, "throughput": result})
+
+
 def _say(line: str) -> None:
     print(line, file=sys.stderr, flush=True)
 
--- a/packages/briarford-bench/src/briarford_bench/compare.py
+++ b/packages/briarford-bench/src/briarford_bench/compare.py
@@ -6,9 +6,10 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
-from briarford_bench.backend_core import duplicate_starts
+from briarford_bench.backend_core import Start, duplicate_starts
 from briarford_bench.load import (
     LoadGenerator,
     LoadSummary,
@@ -20,7 +21,7 @@
 from briarford_bench.systems import NaiveSystem, ProductSystem, System
 from briarford_bench.trace import Arrival, make_trace
 
-__all__ = ["Round", "compare", "run_round"]
+__all__ = ["Plan", "Round", "compare", "run_round"]
 
 LOADS = (0.7, 1.0, 1.5, 3.0)
 SYSTEMS: dict[str, Callable[[Profile, int], System]] = {
@@ -29,6 +30,28 @@
 }
 
 
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What a system is put through.
+
+    :param profile: the deployment.
+    :param load: offered work over capacity.
+    :param seconds: length of the trace.
+    :param seed: seed of the stand-ins.
+    :param trace: what clients send.
+    :param faults: changes to the profiles of backend servers, by index.
+    :param entries: how many of the entries clients know; all if 0.
+    """
+
+    profile: Profile
+    load: float
+    seconds: float
+    seed: int
+    trace: list[Arrival]
+    faults: dict[int, dict[str, Any]] = field(default_factory=dict)
+    entries: int = 0
+
+
 @dataclass(slots=True, frozen=True)
 class Round:
     """Figures of one system on one trace.
@@ -41,6 +64,9 @@
     :param wasted_per_task: all of them per started task.
     :param duplicate_starts: tasks started more than once, other than those
         of idempotent single requests.
+    :param failed_by_worker: jobs that failed with a task there.
+    :param starts_by_worker: tasks that each backend server started.
+    :param decisions: decisions of the daemons by name.
     :param processor_share: processor time of the whole process, stand-ins
         and clients included, over the time that the round took.
     """
@@ -53,6 +79,19 @@
     wasted_per_task: float
     duplicate_starts: int
     processor_share: float
+    failed_by_worker: dict[str, int]
+    starts_by_worker: dict[str, int]
+    decisions: dict[str, int]
+
+    def describe(self) -> str:
+        """Return the main figures on one line."""
+        summary = self.summary
+        return (
+            f"{self.system} at {self.load:g}:"
+            f" ratio p50 {summary.ratio_p50:.2f} p99 {summary.ratio_p99:.2f},"
+            f" waste {self.wasted_per_task:.3f} per task,"
+            f" goodput {summary.goodput:.3f}, {summary.outcomes}"
+        )
 
 
 def compare(
@@ -70,49 +109,56 @@
     rounds = []
     for load in loads:
         trace = make_trace(profile, load, seconds, seed)
+        plan = Plan(profile, load, seconds, seed, trace)
         for name in SYSTEMS:
-            rounds.append(run_round(profile, name, trace, load, seconds, seed))
+            rounds.append(run_round(name, plan))
+            say(rounds[-1].describe())
     return rounds
 
 
-def run_round(
-    profile: Profile,
-    name: str,
-    trace: list[Arrival],
-    load: float,
-    seconds: float,
-    seed: int,
-) -> Round:
-    """Run one trace through one system, on a loop of its own."""
-    with asyncio.Runner(loop_factory=lambda: ProfileLoop(profile)) as runner:
-        system = SYSTEMS[name](profile, seed)
+def run_round(name: str, plan: Plan) -> Round:
+    """Run one plan through one system, on a loop of its own.
+
+    :param name: product or naive.
+    """
+    with asyncio.Runner(
+        loop_factory=lambda: ProfileLoop(plan.profile)
+    ) as runner:
+        system = SYSTEMS[name](plan.profile, plan.seed)
         started_at = time.monotonic()
         processor_s = time.process_time()
-        samples, wasted = runner.run(_drive(system, profile, trace))
+        samples, wasted = runner.run(_drive(system, plan))
         processor_s = time.process_time() - processor_s
         elapsed_s = time.monotonic() - started_at
     starts = system.starts()
+    failed = {s.job_id for s in samples if s.outcome == "failed"}
     return Round(
         system=name,
-        load=load,
-        summary=summarize(profile, samples, seconds),
+        load=plan.load,
+        summary=summarize(plan.profile, samples, plan.seconds),
         tasks=len(starts),
         wasted=dict(wasted),
         wasted_per_task=wasted.total() / max(1, len(starts)),
         duplicate_starts=len(duplicate_starts(starts, _idempotent(samples))),
         processor_share=processor_s / elapsed_s,
+        failed_by_worker=_jobs_by_worker(starts, failed),
+        starts_by_worker=dict(Counter(start.worker for start in starts)),
+        decisions=dict(system.decisions()),
     )
 
 
 async def _drive(
-    system: System, profile: Profile, trace: list[Arrival]
+    system: System, plan: Plan
 ) -> tuple[list[Sample], Counter[str]]:
     await system.start()
     try:
+        for index, changes in plan.faults.items():
+            system.backends[index].core.set_faults(changes)
         before = system.wasted()
         dialler_zone.set(CLIENT_ZONE)
-        load = LoadGenerator(system.addresses, profile.service)
-        samples = await load.run(trace)
+        entries = system.addresses[: plan.entries or None]
+        load = LoadGenerator(entries, plan.profile.service)
+        samples = await load.run(plan.trace)
         wasted = system.wasted()
         wasted.subtract(before)
         return samples, wasted
@@ -120,5 +166,10 @@
         await system.stop()
 
 
+def _jobs_by_worker(starts: list[Start], jobs: set[str]) -> dict[str, int]:
+    pairs = {(s.worker, s.job_id) for s in starts if s.job_id in jobs}
+    return dict(Counter(worker for worker, _ in pairs))
+
+
 def _idempotent(samples: list[Sample]) -> set[str]:
     return {s.job_id for s in samples if s.arrival.idempotent}
--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -9,6 +9,7 @@
 
 from grpclib.events import RecvMessage, SendMessage, listen
 
+from briarford.homes.messages import ExchangeReply, ExchangeRequest
 from briarford.sessions import AgentBatch, EntryBatch
 from briarford_bench.backend_core import Start
 from briarford_bench.backend_server import BackendServer
@@ -236,16 +237,20 @@
         return Counter()
 
 
-def batch_kind(message: AgentBatch | EntryBatch) -> str:
-    """Name the kind of waste that a batch is; empty if it is none.
+def batch_kind(message: object) -> str:
+    """Name the kind of waste that a message is; empty if it is none.
 
-    Starts, results, announcements and the first batch of a session serve
-    an answer; a batch that carries none of them is waste, also when the
-    protocol needs it.
+    Starts, results, announcements, the first batch of a session, forwarded
+    jobs and handovers serve an answer; a message that carries none of them
+    is waste, also when the protocol needs it.
     """
     if isinstance(message, AgentBatch):
         return _agent_batch_kind(message)
-    return _entry_batch_kind(message)
+    if isinstance(message, EntryBatch):
+        return _entry_batch_kind(message)
+    if isinstance(message, ExchangeRequest | ExchangeReply):
+        return "entry-exchange"
+    return ""
 
 
 def _agent_batch_kind(batch: AgentBatch) -> str:
--- a/packages/briarford-bench/tests/test_systems.py
+++ b/packages/briarford-bench/tests/test_systems.py
@@ -2,6 +2,13 @@
 
 import pytest
 
+from briarford.homes import Member
+from briarford.homes.messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    ForwardReply,
+    PeerState,
+)
 from briarford.jobs import TaskRef
 from briarford.sessions import (
     AgentBatch,
@@ -22,6 +29,7 @@
 from briarford_bench.systems import batch_kind
 
 REF = TaskRef("job", 0)
+PEER = PeerState(Member("e", "i", "127.0.0.1:1"), 1.0)
 KYKLOS = find_profile("kyklos")
 BARIDI = find_profile("baridi")
 
@@ -44,6 +52,9 @@
         (EntryBatch(1, cancels=(REF,), acks=(REF,)), "cancels-only"),
         (EntryBatch(1, Welcome("e", "i")), ""),
         (EntryBatch(1, starts=(StartTask(REF, 1.0, b""),), demand=1), ""),
+        (ExchangeRequest(PEER), "entry-exchange"),
+        (ExchangeReply(PEER), "entry-exchange"),
+        (ForwardReply(), ""),
     ],
 )
 def test_only_batches_without_work_are_waste(message, kind):
