--- a/packages/briarford-bench/src/briarford_bench/naive.py
+++ b/packages/briarford-bench/src/briarford_bench/naive.py
@@ -130,9 +130,9 @@
             async with asyncio.timeout(deadline - time.time()):
                 results = await asyncio.gather(*tasks)
         except TimeoutError:
-            return _problem(STATUS_TIMEOUT, "deadline passed")
+            return _problem(job_id, STATUS_TIMEOUT, "deadline passed")
         except _TaskFailedError:
-            return _problem(STATUS_FAILED, "task failed")
+            return _problem(job_id, STATUS_FAILED, "task failed")
         finally:
             for task in tasks:
                 task.cancel()
@@ -209,8 +209,13 @@
     )
 
 
-def _problem(status: int, title: str) -> Response:
-    body = {"title": title, "status": status, "did_run": "unknown"}
+def _problem(job_id: str, status: int, title: str) -> Response:
+    body = {
+        "id": job_id,
+        "title": title,
+        "status": status,
+        "did_run": "unknown",
+    }
     return Response(
         status, content=Content(PROBLEM_TYPE, msgspec.json.encode(body))
     )
