--- a/packages/briarford-bench/src/briarford_bench/load.py
+++ b/packages/briarford-bench/src/briarford_bench/load.py
@@ -18,10 +18,11 @@
 from briarford_bench.profiles import Profile
 from briarford_bench.trace import Arrival
 
-__all__ = ["LoadGenerator", "LoadSummary", "Sample", "summarize"]
+__all__ = ["LoadGenerator", "LoadSummary", "Ratios", "Sample", "summarize"]
 
 STATUS_OK = 200
 MINT_COUNT = 200
+JOB_SIZES = (1, 10, 60, 200)  # upper bounds, in tasks
 START_DELAY_S = 0.2
 ANSWER_GRACE_S = 2.0
 MAX_LATENCY_US = 600_000_000
@@ -188,6 +189,20 @@
     return job_id, outcome, document.get("title", str(status))
 
 
+@dataclass(slots=True, frozen=True)
+class Ratios:
+    """Latency over ideal of completed jobs.
+
+    :param jobs: how many.
+    :param p50: median.
+    :param p99: 99th percentile.
+    """
+
+    jobs: int
+    p50: float
+    p99: float
+
+
 @dataclass(slots=True, frozen=True)
 class LoadSummary:
     """Figures of one run.
@@ -197,6 +212,7 @@
     :param reasons: how many of each reason among those not completed.
     :param ratio_p50: median of latency over ideal of completed jobs.
     :param ratio_p99: its 99th percentile.
+    :param ratios: the same by the size of the job, up to this many tasks.
     :param latency_p50_ms: median latency of completed jobs.
     :param latency_p99_ms: its 99th percentile.
     :param goodput: true work of jobs completed in time while the trace
@@ -210,6 +226,7 @@
     reasons: dict[str, int]
     ratio_p50: float
     ratio_p99: float
+    ratios: dict[int, Ratios]
     latency_p50_ms: float
     latency_p99_ms: float
     goodput: float
@@ -225,19 +242,18 @@
     :param seconds: length of the trace.
     """
     latency = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
-    ratio = HdrHistogram(1, MAX_RATIO_PERMILLE, SIGNIFICANT_FIGURES)
     done = [s for s in samples if s.outcome == "completed"]
     for sample in done:
         latency.record_value(int(sample.latency_s * 1e6))
-        ideal = ideal_s(profile, sample.arrival.run_ms)
-        ratio.record_value(int(sample.latency_s / ideal * PERMILLE))
+    ratios = _ratios(profile, done)
     refusals = [s.answer_s for s in samples if s.outcome == "refused"]
     return LoadSummary(
         jobs=len(samples),
         outcomes=dict(Counter(s.outcome for s in samples)),
         reasons=dict(Counter(s.reason for s in samples if s.reason)),
-        ratio_p50=ratio.get_value_at_percentile(50) / PERMILLE,
-        ratio_p99=ratio.get_value_at_percentile(99) / PERMILLE,
+        ratio_p50=ratios.p50,
+        ratio_p99=ratios.p99,
+        ratios=_ratios_by_size(profile, done),
         latency_p50_ms=latency.get_value_at_percentile(50) / 1000,
         latency_p99_ms=latency.get_value_at_percentile(99) / 1000,
         goodput=_goodput(profile, done, seconds),
@@ -246,6 +262,29 @@
     )
 
 
+def _ratios(profile: Profile, done: Sequence[Sample]) -> Ratios:
+    histogram = HdrHistogram(1, MAX_RATIO_PERMILLE, SIGNIFICANT_FIGURES)
+    for sample in done:
+        ideal = ideal_s(profile, sample.arrival.run_ms)
+        histogram.record_value(int(sample.latency_s / ideal * PERMILLE))
+    return Ratios(
+        len(done),
+        histogram.get_value_at_percentile(50) / PERMILLE,
+        histogram.get_value_at_percentile(99) / PERMILLE,
+    )
+
+
+def _ratios_by_size(
+    profile: Profile, done: Sequence[Sample]
+) -> dict[int, Ratios]:
+    by_size: dict[int, list[Sample]] = {size: [] for size in JOB_SIZES}
+    for sample in done:
+        tasks = len(sample.arrival.run_ms)
+        size = next(size for size in JOB_SIZES if tasks <= size)
+        by_size[size].append(sample)
+    return {size: _ratios(profile, rows) for size, rows in by_size.items()}
+
+
 def _goodput(
     profile: Profile, done: Sequence[Sample], seconds: float
 ) -> float:
--- a/packages/briarford-bench/tests/test_trace.py
+++ b/packages/briarford-bench/tests/test_trace.py
@@ -58,5 +58,6 @@
     assert summary.reasons == {"queue full": 1}
     assert summary.ratio_p50 == pytest.approx(1.0, rel=0.01)
     assert summary.ratio_p99 == pytest.approx(3.0, rel=0.01)
+    assert [r.jobs for r in summary.ratios.values()] == [2, 0, 0, 0]
     assert summary.goodput == pytest.approx(1.3 / (88 * 10))
     assert summary.refusals_over_50_ms == 1
