--- a/packages/briarford-bench/src/briarford_bench/load.py
+++ b/packages/briarford-bench/src/briarford_bench/load.py
@@ -18,10 +18,11 @@
 from briarford_bench.profiles import Profile
 from briarford_bench.trace import Arrival
 
-__all__ = ["LoadGenerator", "LoadSummary", "Sample", "summarize"]
+__all__ = ["LoadGenerator", "LoadSummary", "Ratios", "Sample", "summarize"]
 
 STATUS_OK = 200
 MINT_COUNT = 200
+JOB_SIZES = (1, 10, 60, 200)  # upper bounds, in tasks
 START_DELAY_S = 0.2
 ANSWER_GRACE_S = 2.0
 MAX_LATENCY_US = 600_000_000
@@ -63,6 +64,7 @@
         self._entries = itertools.cycle(entries)
         self._service = service
         self._ids: dict[str, list[str]] = {entry: [] for entry in entries}
+        self._cancels: set[asyncio.Task[None]] = set()
         self._http: aiohttp.ClientSession
 
     async def run(self, trace: Sequence[Arrival]) -> list[Sample]:
@@ -77,7 +79,9 @@
                 asyncio.create_task(self._send(arrival, started_at))
                 for arrival in trace
             ]
-            return list(await asyncio.gather(*tasks))
+            samples = list(await asyncio.gather(*tasks))
+            await asyncio.gather(*self._cancels, return_exceptions=True)
+            return samples
 
     async def _mint(self, entry: str) -> None:
         url = f"http://{entry}/v1/jobs?count={MINT_COUNT}"
@@ -125,6 +129,7 @@
         else:
             method = "PUT"
             url = f"http://{entry}/v1/jobs/{await self._next_id(entry)}"
+            self._plan_cancel(arrival, url, deadline - arrival.deadline)
         body = self._body(arrival)
         async with self._http.request(
             method, url, json=body, headers=headers
@@ -132,6 +137,22 @@
             data = await response.read()
             return _judge(arrival, response.status, data)
 
+    def _plan_cancel(
+        self, arrival: Arrival, url: str, started_at: float
+    ) -> None:
+        if arrival.cancel_at is None:
+            return
+        task = asyncio.create_task(
+            self._cancel(url, started_at + arrival.cancel_at)
+        )
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel(self, url: str, at: float) -> None:
+        await asyncio.sleep(max(0.0, at - time.time()))
+        async with self._http.delete(url):
+            pass
+
     async def _next_id(self, entry: str) -> str:
         if not self._ids[entry]:
             await self._mint(entry)
@@ -168,6 +189,20 @@
     return job_id, outcome, document.get("title", str(status))
 
 
+@dataclass(slots=True, frozen=True)
+class Ratios:
+    """Latency over ideal of completed jobs.
+
+    :param jobs: how many.
+    :param p50: median.
+    :param p99: 99th percentile.
+    """
+
+    jobs: int
+    p50: float
+    p99: float
+
+
 @dataclass(slots=True, frozen=True)
 class LoadSummary:
     """Figures of one run.
@@ -177,6 +212,7 @@
     :param reasons: how many of each reason among those not completed.
     :param ratio_p50: median of latency over ideal of completed jobs.
     :param ratio_p99: its 99th percentile.
+    :param ratios: the same by the size of the job, up to this many tasks.
     :param latency_p50_ms: median latency of completed jobs.
     :param latency_p99_ms: its 99th percentile.
     :param goodput: true work of jobs completed in time while the trace
@@ -190,6 +226,7 @@
     reasons: dict[str, int]
     ratio_p50: float
     ratio_p99: float
+    ratios: dict[int, Ratios]
     latency_p50_ms: float
     latency_p99_ms: float
     goodput: float
@@ -205,19 +242,18 @@
     :param seconds: length of the trace.
     """
     latency = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
-    ratio = HdrHistogram(1, MAX_RATIO_PERMILLE, SIGNIFICANT_FIGURES)
     done = [s for s in samples if s.outcome == "completed"]
     for sample in done:
         latency.record_value(int(sample.latency_s * 1e6))
-        ideal = ideal_s(profile, sample.arrival.run_ms)
-        ratio.record_value(int(sample.latency_s / ideal * PERMILLE))
+    ratios = _ratios(profile, done)
     refusals = [s.answer_s for s in samples if s.outcome == "refused"]
     return LoadSummary(
         jobs=len(samples),
         outcomes=dict(Counter(s.outcome for s in samples)),
         reasons=dict(Counter(s.reason for s in samples if s.reason)),
-        ratio_p50=ratio.get_value_at_percentile(50) / PERMILLE,
-        ratio_p99=ratio.get_value_at_percentile(99) / PERMILLE,
+        ratio_p50=ratios.p50,
+        ratio_p99=ratios.p99,
+        ratios=_ratios_by_size(profile, done),
         latency_p50_ms=latency.get_value_at_percentile(50) / 1000,
         latency_p99_ms=latency.get_value_at_percentile(99) / 1000,
         goodput=_goodput(profile, done, seconds),
@@ -226,6 +262,29 @@
     )
 
 
+def _ratios(profile: Profile, done: Sequence[Sample]) -> Ratios:
+    histogram = HdrHistogram(1, MAX_RATIO_PERMILLE, SIGNIFICANT_FIGURES)
+    for sample in done:
+        ideal = ideal_s(profile, sample.arrival.run_ms)
+        histogram.record_value(int(sample.latency_s / ideal * PERMILLE))
+    return Ratios(
+        len(done),
+        histogram.get_value_at_percentile(50) / PERMILLE,
+        histogram.get_value_at_percentile(99) / PERMILLE,
+    )
+
+
+def _ratios_by_size(
+    profile: Profile, done: Sequence[Sample]
+) -> dict[int, Ratios]:
+    by_size: dict[int, list[Sample]] = {size: [] for size in JOB_SIZES}
+    for sample in done:
+        tasks = len(sample.arrival.run_ms)
+        size = next(size for size in JOB_SIZES if tasks <= size)
+        by_size[size].append(sample)
+    return {size: _ratios(profile, rows) for size, rows in by_size.items()}
+
+
 def _goodput(
     profile: Profile, done: Sequence[Sample], seconds: float
 ) -> float:
--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -9,6 +9,7 @@
 
 from grpclib.events import RecvMessage, SendMessage, listen
 
+from briarford.homes.messages import ExchangeReply, ExchangeRequest
 from briarford.sessions import AgentBatch, EntryBatch
 from briarford_bench.backend_core import Start
 from briarford_bench.backend_server import BackendServer
@@ -50,6 +51,9 @@
     def starts(self) -> list[Start]:
         """Return what the backend servers started."""
 
+    def decisions(self) -> Counter[str]:
+        """Count the decisions of the daemons, by name."""
+
 
 class _Base:
     """What both systems share: the backend servers and the network."""
@@ -116,6 +120,15 @@
         counts["bounce"] += MESSAGES_PER_BOUNCE * bounces
         return counts
 
+    def decisions(self) -> Counter[str]:
+        """Count the decisions of the daemons, by name."""
+        counts: Counter[str] = Counter()
+        for entry in self.entries:
+            counts += entry.daemon.metrics.decisions
+        for agent in self.agents:
+            counts += agent.daemon.metrics.decisions
+        return counts
+
     def _knows_all(self, entry: EntryProcess) -> bool:
         workers = entry.daemon.core.placer.workers
         return len(workers) == len(self._profile.speeds)
@@ -219,17 +232,25 @@
         """Count messages that contributed to no answer, by kind."""
         return sum((e.messages for e in self.entries), Counter())
 
+    def decisions(self) -> Counter[str]:
+        """Return nothing: a naive entry logs no decisions."""
+        return Counter()
+
 
-def batch_kind(message: AgentBatch | EntryBatch) -> str:
-    """Name the kind of waste that a batch is; empty if it is none.
+def batch_kind(message: object) -> str:
+    """Name the kind of waste that a message is; empty if it is none.
 
-    Starts, results, announcements and the first batch of a session serve
-    an answer; a batch that carries none of them is waste, also when the
-    protocol needs it.
+    Starts, results, announcements, the first batch of a session, forwarded
+    jobs and handovers serve an answer; a message that carries none of them
+    is waste, also when the protocol needs it.
     """
     if isinstance(message, AgentBatch):
         return _agent_batch_kind(message)
-    return _entry_batch_kind(message)
+    if isinstance(message, EntryBatch):
+        return _entry_batch_kind(message)
+    if isinstance(message, ExchangeRequest | ExchangeReply):
+        return "entry-exchange"
+    return ""
 
 
 def _agent_batch_kind(batch: AgentBatch) -> str:
