Count a team's queued tasks once when the queue is sorted anew

Cause: when the first worker of a shape came or the last one left, the queue was built again and each waiting task was counted into its team's share once more; the count never came down, and admission refused by it. The check is shown failing on a planted fault in test_checks.

--- a/packages/briarford/src/briarford/placement/pool.py
+++ b/packages/briarford/src/briarford/placement/pool.py
@@ -159,6 +159,9 @@
         self.jobs.clear()
         self.classes.clear()
         self._by_needs.clear()
+        for share in self.shares.values():
+            share.queued = 0
+            share.queued_s = 0.0
         for job in waiting:
             for class_, part in self._split(job):
                 self.queue_job(class_, part)
--- a/packages/briarford/tests/dispatch/checks.py
+++ b/packages/briarford/tests/dispatch/checks.py
@@ -246,6 +246,26 @@
             yield f"{agent.name} takes no work, {ANNOUNCE_TTL_S} s lease"
 
 
+@check
+def placement_counts_nothing_twice(cast: Cast) -> Iterator[str]:
+    for entry in cast.entries:
+        for pool in entry.core.placer._pools.values():
+            counts = {
+                "running": pool.running,
+                "queued": pool.queued,
+                "jobs queued": len(pool.jobs),
+                "jobs running": len(pool.running_by_job),
+            }
+            for share in pool.shares.values():
+                counts[f"running of {share.team}"] = share.running
+                counts[f"queued of {share.team}"] = share.queued
+            for worker in entry.core.placer.workers.values():
+                counts[f"running on {worker.name}"] = worker.running
+            for what, count in counts.items():
+                if count:
+                    yield f"{entry.name} counts {count} {what}"
+
+
 def note_held(cast: Cast, client: Client) -> None:
     """Note a request that waits though nothing can come of it any more."""
     if client.crashed or client.answered_at is not None:
--- a/packages/briarford/tests/dispatch/test_checks.py
+++ b/packages/briarford/tests/dispatch/test_checks.py
@@ -124,6 +124,17 @@
     monkeypatch.setattr(EntryCore, "_end", end_rest)
 
 
+def count_queued_twice(monkeypatch):
+    original = Placer.enqueue
+
+    def enqueue(self, tasks):
+        tasks = list(tasks)
+        original(self, tasks)
+        self._pools[tasks[0].service].shares[tasks[0].team].queued += 1
+
+    monkeypatch.setattr(Placer, "enqueue", enqueue)
+
+
 def spin(monkeypatch):
     monkeypatch.setattr(AgentCore, "next_deadline", lambda self: 0.0)
 
@@ -175,6 +186,7 @@
         (keep_results, None, "nothing_is_left_over"),
         (keep_tasks_queued, None, "nothing_is_left_over"),
         (keep_timers, None, "timers_are_bounded"),
+        (count_queued_twice, None, "placement_counts_nothing_twice"),
         (spin, None, "no_core_spins"),
         (
             never_return,
