Confirm a leaving worker, read deadlines by the entry's clock, budget retries

- A stopping agent waited for its credits to come back; a start without a credit could still be lost on the way.
Each batch of an entry now names the last batch it heard; an agent stops once each entry has heard that it takes no work.
The test of the credits is replaced by a stricter one: returned credits alone do not let the agent stop.
- Retries of idempotent requests spend the budget of limits; EntryCore has a configure() that sets both numbers, for whoever adopts a preset.
- Demand is counted by worker (demand_of), and verdicts of the health guard are logged as worker-throttled and worker-restored.

--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -98,7 +98,14 @@
 
 @dataclass(slots=True)
 class _Link:
-    """All that an agent has with one entry, across sessions."""
+    """All that an agent has with one entry, across sessions.
+
+    :param clock_ahead_s: seconds by which this clock is ahead of the
+        entry's, at most; the way of the welcome is in it.
+    :param left_in: number of the first batch of this session that said that
+        no work is taken; 0 if there is none.
+    :param heard: number of the last batch that the entry has taken in.
+    """
 
     entry: EntryAddress
     session: int = 0
@@ -108,7 +115,9 @@
     failures: int = 0
     incarnation: str = ""
     lost_at: float = 0.0
-    clock_lead_s: float = math.inf
+    clock_ahead_s: float = 0.0
+    left_in: int = 0
+    heard: int = 0
     sequence: Sequence = field(default_factory=Sequence)
     outbox: AgentOutbox = field(default_factory=AgentOutbox)
     running: set[TaskRef] = field(default_factory=set)
@@ -182,6 +191,8 @@
             return
         self.worker = message.worker
         self.leaving = False
+        for link in self._links.values():
+            link.left_in = 0
         self._granter.set_slots(message.worker.slots)
         for link in self._links.values():
             link.outbox.worker = message.worker
@@ -295,6 +306,7 @@
         if not link.welcomed:
             return
         address = link.entry.address
+        link.heard = batch.heard
         self._granter.set_demand(address, batch.demand)
         if batch.returned:
             self._granter.returned(address, batch.returned)
@@ -319,6 +331,7 @@
         lead_s = now - welcome.sent_at
         link.clock_lead_s = min(link.clock_lead_s, lead_s)
         link.incarnation = welcome.incarnation
+        link.clock_ahead_s = now - welcome.sent_at if welcome.sent_at else 0.0
         link.welcomed = True
         link.failures = 0
         self._granter.attach(link.entry.address)
@@ -353,7 +366,7 @@
             detail = "the attempt was started before"
             self._report(link, TaskResult(ref, TaskStatus.LOST, detail=detail))
             return
-        deadline = start.deadline + link.clock_lead_s
+        deadline = start.deadline + link.clock_ahead_s
         refusal = self._refusal(deadline, now)
         if refusal:
             self._granter.returned(link.entry.address, 1)
@@ -414,6 +427,8 @@
         link.open = True
         link.welcomed = False
         link.sequence = Sequence()
+        link.left_in = 0
+        link.heard = 0
         link.outbox = AgentOutbox(
             hello=Hello(self.name, self.incarnation, link.session, self.zone),
             worker=self.worker,
@@ -473,6 +488,8 @@
             link.sequence.next(), self.leaving, self.preset_version
         )
         link.outbox = AgentOutbox()
+        if self.leaving and not link.left_in:
+            link.left_in = batch.seq
         self._arm(link, HEARTBEAT, now + self._cfg.heartbeat_s)
         self._effects.append(SendToEntry(address, link.session, batch))
 
@@ -493,16 +510,13 @@
         self._leave("the backend server did not take a task")
 
     def _check_stopped(self, now: float) -> None:
-        """Stop once no start can arrive and no result is to be delivered.
-
-        A credit that an entry holds may be on its way back as a start.
-        """
-        if not self.stopping or self._stopped:
+        """Stop once no start can arrive and no result is to be delivered."""
+        if not self.stopping or self._stopped or self._calls:
             return
-        if self._calls or self._granter.granted:
+        links = self._links.values()
+        if any(_may_start(k) or self._undelivered(k, now) for k in links):
             return
-        if not any(self._undelivered(k, now) for k in self._links.values()):
-            self._stop()
+        self._stop()
 
     def _undelivered(self, link: _Link, now: float) -> bool:
         if not link.results:
@@ -549,3 +563,13 @@
     ) -> None:
         fields["worker"] = self.name
         self._effects.append(Decision(action, reason, fields))
+
+
+def _may_start(link: _Link) -> bool:
+    """Whether the entry may have sent starts before it heard of the leaving.
+
+    Its batches come in order, so none follows one that has heard of it.
+    """
+    if not link.welcomed:
+        return False
+    return not link.left_in or link.heard < link.left_in
--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -22,6 +22,7 @@
 )
 from briarford.jobs.messages import JobSpec, TaskRef
 from briarford.jobs.state import Job, JobTable
+from briarford.limits import AttemptBudgets, LimitConfig
 from briarford.outcomes import (
     Completed,
     Failed,
@@ -31,7 +32,12 @@
     Refused,
     Step,
 )
-from briarford.placement import Placed, Placer, QueuedTask
+from briarford.placement import (
+    Placed,
+    PlacementConfig,
+    Placer,
+    QueuedTask,
+)
 from briarford.sessions.messages import (
     AgentBatch,
     EntryAddress,
@@ -117,6 +123,7 @@
     zone: str = ""
     service: str = ""
     demand: int = 0
+    leaving: bool = False
     preset_version: int = 0
     sequence: Sequence = field(default_factory=Sequence)
     outbox: EntryOutbox = field(default_factory=EntryOutbox)
@@ -138,6 +145,7 @@
     :param placer: the placement core.
     :param rng: source of random choices.
     :param cfg: settings.
+    :param limits: numbers of limits that are in force.
     """
 
     def __init__(
@@ -147,6 +155,7 @@
         placer: Placer,
         rng: random.Random,
         cfg: EntryConfig | None = None,
+        limits: LimitConfig | None = None,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -158,6 +167,7 @@
         self._entries: tuple[EntryAddress, ...] = ()
         self._rng = rng
         self._cfg = cfg or EntryConfig()
+        self._budgets = AttemptBudgets(limits or LimitConfig())
         self._agents: dict[str, _Agent] = {}
         self._sessions: dict[int, _Session] = {}
         self._dirty: dict[int, None] = {}
@@ -263,6 +273,13 @@
     def _(self, message: Tick, now: float) -> None:
         """Nothing to take in: :meth:`turn` looks at the deadlines."""
 
+    def configure(
+        self, placement: PlacementConfig, limits: LimitConfig
+    ) -> None:
+        """Take in the numbers of another preset."""
+        self.placer.configure(placement, limits)
+        self._budgets = AttemptBudgets(limits)
+
     # A turn.
 
     def turn(self, now: float) -> list[EntryEffect]:
@@ -274,6 +291,7 @@
             self._expire(timer, now)
         for placed in self.placer.place(now):
             self._start(placed, now)
+        self._log_verdicts()
         self._announce_demand()
         for conn in self._dirty:
             self._flush(conn, now)
@@ -340,6 +358,7 @@
             )
             for index, task in enumerate(spec.tasks)
         )
+        self._budgets.count_first_tries(len(spec.tasks))
         self._watch_service(spec.service, now)
         self._decide(
             "job-admitted",
@@ -497,9 +516,7 @@
         result: TaskResult,
         now: float,
     ) -> None:
-        spec = job.spec
-        again = task.ref.attempt + 1 < self._cfg.max_attempts
-        if spec is not None and spec.idempotent and again:
+        if self._may_retry(job, task.ref):
             self._requeue(job, task, now, "idempotent request failed")
             return
         lost = result.status is TaskStatus.LOST
@@ -509,6 +526,27 @@
         detail = f"task {result.ref.index}: {result.detail}"
         self._end(job, Failed(reason, detail, Step.RUNNING, agent.name), now)
 
+    def _may_retry(self, job: Job, ref: TaskRef) -> bool:
+        if job.spec is None or not job.spec.idempotent:
+            return False
+        if ref.attempt + 1 >= self._cfg.max_attempts:
+            return False
+        return self._budgets.retries.spend()
+
+    def _log_verdicts(self) -> None:
+        for verdict in self.placer.take_verdicts():
+            if verdict.probe_at is None:
+                self._decide(
+                    "worker-restored", "its probe", worker=verdict.worker
+                )
+                continue
+            self._decide(
+                "worker-throttled",
+                "failures",
+                worker=verdict.worker,
+                probe_at=verdict.probe_at,
+            )
+
     # Sessions.
 
     def _take_batch(
@@ -528,8 +566,10 @@
             session.service = batch.worker.service
             self.placer.set_worker(agent.name, session.zone, batch.worker)
         self.placer.set_leaving(agent.name, batch.leaving)
-        if batch.leaving and session.service:
+        if batch.leaving and not session.leaving:
+            self._mark(session)
             self._watch_service(session.service, now)
+        session.leaving = batch.leaving
         session.preset_version = batch.preset_version
         for report in batch.reports:
             self._take_report(agent, report, now)
@@ -649,16 +689,19 @@
         for session in self._sessions.values():
             if not session.service or session.demand:
                 continue
-            if self.placer.demand(session.service):
+            if self.placer.demand_of(session.agent):
                 self._mark(session)
 
     def _flush(self, conn: int, now: float) -> None:
         session = self._sessions.get(conn)
         if session is None or not session.outbox.urgent:
             return
-        session.demand = self.placer.demand(session.service)
+        session.demand = self.placer.demand_of(session.agent)
         batch = session.outbox.build(
-            session.sequence.next(), session.demand, self.stopping
+            session.sequence.next(),
+            session.demand,
+            self.stopping,
+            session.sequence.received,
         )
         session.outbox = EntryOutbox()
         session.sent_at = now
--- a/packages/briarford/src/briarford/sessions/messages.py
+++ b/packages/briarford/src/briarford/sessions/messages.py
@@ -89,8 +89,7 @@
     :param incarnation: differs each time the entry's process starts.
     :param outstanding: attempts that the entry sent to this agent and has no
         result of; the agent answers for each.
-    :param sent_at: Unix seconds by the entry's clock, from which the agent
-        learns how far its own clock is off.
+    :param sent_at: the entry's clock, in Unix seconds; 0 if it is not told.
     """
 
     entry: str
@@ -179,6 +178,7 @@
     :param stopping: whether the entry is about to stop.
     :param entries: the entries that there are, if the list changed.
     :param preset: the encoded preset record, if the agent has an older one.
+    :param heard: number of the last batch that came from the agent.
     """
 
     seq: int
@@ -191,3 +191,4 @@
     stopping: bool = False
     entries: tuple[EntryAddress, ...] = ()
     preset: bytes = b""
+    heard: int = 0
--- a/packages/briarford/src/briarford/sessions/outbox.py
+++ b/packages/briarford/src/briarford/sessions/outbox.py
@@ -37,7 +37,9 @@
     preset: bytes = b""
     urgent: bool = False
 
-    def build(self, seq: int, demand: int, stopping: bool) -> EntryBatch:
+    def build(
+        self, seq: int, demand: int, stopping: bool, heard: int
+    ) -> EntryBatch:
         """Build the batch; the outbox is used up."""
         return EntryBatch(
             seq=seq,
@@ -50,6 +52,7 @@
             stopping=stopping,
             entries=self.entries,
             preset=self.preset,
+            heard=heard,
         )
 
 
--- a/packages/briarford/src/briarford/sessions/sequence.py
+++ b/packages/briarford/src/briarford/sessions/sequence.py
@@ -24,6 +24,16 @@
         self._received = 0
         self._sent = 0
 
+    @property
+    def sent(self) -> int:
+        """Number of the last batch that was sent."""
+        return self._sent
+
+    @property
+    def received(self) -> int:
+        """Number of the last batch that arrived."""
+        return self._received
+
     def next(self) -> int:
         """Return the number of the next batch to send."""
         self._sent += 1
--- a/packages/briarford/tests/dispatch/matrix.py
+++ b/packages/briarford/tests/dispatch/matrix.py
@@ -4,6 +4,7 @@
 
 import functools
 import itertools
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -62,7 +63,7 @@
         else:
             kind = type(self.outcome).__name__.lower()
             word = f"{kind} {self.outcome.reason}"
-        return f"{word} {self.waited_s:.1f} s"
+        return f"{word}, {math.ceil(self.waited_s)} s"
 
 
 def build(seed: int) -> Cast:
--- a/packages/briarford/tests/dispatch/test_agent_recovery.py
+++ b/packages/briarford/tests/dispatch/test_agent_recovery.py
@@ -40,13 +40,13 @@
 class Driver:
     """Feeds an agent core and keeps its effects."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = NOW) -> None:
         self.core = AgentCore("a", "a-1", "zone", random.Random(0))
         self.effects: list[object] = []
         self.session = 0
         self.seq = 0
-        self.take(BackendAnnounced(WORKER, NOW + 100.0))
-        self.take(EntriesChanged((ENTRY,)))
+        self.take(BackendAnnounced(WORKER, now + 100.0), now)
+        self.take(EntriesChanged((ENTRY,)), now)
 
     def take(self, message: object, now: float = NOW) -> list[object]:
         self.core.receive(message, now)
@@ -147,15 +147,26 @@
     assert not agent.core.leaving
 
 
-def test_stop_waits_for_credits_that_may_return_as_starts():
+def test_stop_waits_until_the_entry_has_heard_of_it():
     agent = Driver()
     agent.welcome()
-    assert not stopped(agent.take(StopRequested(NOW + 9.0)))
-    assert not stopped(agent.batch(returned=1))
+    [sent] = agent.take(StopRequested(NOW + 9.0))[-1:]
+    assert sent.batch.leaving
+    seq = sent.batch.seq
+    assert not stopped(agent.batch(returned=2, heard=seq - 1))
     effects = agent.start()
     assert told(effects) == {REF: TaskStatus.NOT_STARTED}
-    assert not stopped(effects)
-    assert stopped(agent.batch(acks=(REF,)))
+    assert not stopped(agent.batch(acks=(REF,), heard=seq - 1))
+    assert stopped(agent.batch(heard=seq))
+
+
+@pytest.mark.parametrize("error_s", [-30.0, 30.0])
+def test_deadlines_are_read_by_the_clock_of_the_entry(error_s):
+    now = NOW + error_s
+    agent = Driver(now)
+    agent.batch(now, welcome=Welcome("e", "1", (), NOW))
+    [call] = [e for e in agent.start(now) if isinstance(e, CallBackend)]
+    assert call.deadline == DEADLINE + error_s
 
 
 @pytest.mark.parametrize(("seconds", "gives_up"), [(4.0, False), (6.0, True)])
--- a/packages/briarford/tests/dispatch/test_entry_recovery.py
+++ b/packages/briarford/tests/dispatch/test_entry_recovery.py
@@ -15,8 +15,9 @@
     Tick,
 )
 from briarford.jobs import JobSpec, TaskSpec
+from briarford.limits import LimitConfig
 from briarford.outcomes import Failed, RefusalReason, Refused
-from briarford.placement import Placer
+from briarford.placement import PlacementConfig, Placer
 from briarford.sessions import AgentBatch, Hello, TaskResult, WorkerInfo
 from briarford.sessions.messages import TaskStatus
 
@@ -50,9 +51,16 @@
         worker = WorkerInfo("desk", slots, 8.0, 8000)
         return self.batch(conn, now, hello=hello, worker=worker, credits=slots)
 
-    def submit(self, job_id: str, tasks: int, now: float = NOW) -> None:
+    def submit(
+        self,
+        job_id: str,
+        tasks: int,
+        now: float = NOW,
+        idempotent: bool = False,
+    ) -> None:
+        all_tasks = (TaskSpec(b"1"),) * tasks
         spec = JobSpec(
-            job_id, "desk", "team", now + 60.0, (TaskSpec(b"1"),) * tasks
+            job_id, "desk", "team", now + 60.0, all_tasks, idempotent
         )
         assert self.core.submit(spec, now) is None
         self.take(Tick(), now)
@@ -67,6 +75,30 @@
     return [e.outcome for e in effects if isinstance(e, JobEnded)]
 
 
+def test_leaving_is_confirmed_at_once():
+    entry = Driver()
+    entry.attach(1, "a", 1)
+    [sent] = [
+        e for e in entry.batch(1, leaving=True) if isinstance(e, SendToAgent)
+    ]
+    assert sent.batch.heard == 2
+
+
+def test_retries_of_idempotent_requests_have_a_budget():
+    entry = Driver()
+    limits = LimitConfig(retry_share=0.0, budget_burst=2.0)
+    entry.core.configure(PlacementConfig(), limits)
+    entry.attach(1, "a", 5)
+    for job in range(5):
+        entry.submit(f"job-{job}", 1, idempotent=True)
+    lost = tuple(
+        TaskResult(s.ref, TaskStatus.LOST)
+        for s in sent(entry.effects, "starts")
+    )
+    assert len(lost) == 5
+    assert len(outcomes(entry.batch(1, results=lost))) == 3
+
+
 def test_cancel_reaches_an_agent_that_was_away():
     entry = Driver()
     entry.attach(1, "a", 2)
