--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,9 @@
 format: .venv/.installed
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+# Random faults for a time: make soak SECONDS=600 SEED=7
+SECONDS ?= 60
+SEED ?= 1
+soak: .venv/.installed
+	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
