Measure how soon a change of the record is in force everywhere

Cause: a change has to be in force everywhere within 6 s, also while the store is down or its watches are silent. Seen: agents never adopt a record: the shell posts PresetAdopted back with version 0, which is never higher than what the agent has.

--- /dev/null
+++ b/packages/briarford-bench/src/briarford_bench/kv_propagation.py
@@ -0,0 +1,206 @@
+"""Measures how soon a change of the record is in force everywhere.
+
+Run as ``python -m briarford_bench.kv_propagation CHANGES [CASE ...]``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import statistics
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from briarford.presets import (
+    PRESET_KEY,
+    Edit,
+    Record,
+    apply_change,
+    encode_record,
+    make_default_record,
+)
+from briarford_bench.backend_core import BackendProfile
+from briarford_bench.stack import Stack
+from briarford_daemon.store_client import HttpStore
+
+__all__ = ["Case", "CaseResult", "measure_case"]
+
+ENTRIES = 3
+WORKERS = 11
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+POLL_S = 0.001
+SPREAD_WITHIN_S = 20.0
+NEVER_S = float("inf")
+SETTLE_S = 2.0
+CALL_S = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """One fault under which changes are made.
+
+    :param faults: faults of the stand-in while the changes spread.
+    :param clear_after_s: when the faults end, counted from the change; 0 if
+        they stay.
+    """
+
+    name: str
+    faults: dict[str, Any] = field(default_factory=dict)
+    clear_after_s: float = 0.0
+
+
+@dataclass(slots=True)
+class CaseResult:
+    """What was seen in one case.
+
+    :param entry_s: for each change and entry, seconds until it was adopted;
+        infinite if it was not.
+    :param agent_s: the same for agents.
+    :param calls: calls of the store, by kind.
+    :param elapsed_s: time over which the calls were counted.
+    """
+
+    entry_s: list[float] = field(default_factory=list)
+    agent_s: list[float] = field(default_factory=list)
+    calls: Counter[str] = field(default_factory=Counter)
+    elapsed_s: float = 0.0
+
+
+CASES = (
+    Case("no fault"),
+    Case("watches silent", {"silent_watches": True}),
+    Case("every call 0.5 s slower", {"delay_s": 0.5}),
+    Case("down for 3 s after the change", {"down": True}, 3.0),
+    Case("down for 10 s after the change", {"down": True}, 10.0),
+    Case("silent for 10 s after the change", {"silent": True}, 10.0),
+)
+
+
+async def measure_case(case: Case, changes: int, seed: int) -> CaseResult:
+    """Make changes one after the other and time their spread."""
+    rng = random.Random(seed)
+    profiles = [BackendProfile(service="lease-desk") for _ in range(WORKERS)]
+    stack = Stack(ENTRIES, profiles, ZONES, seed)
+    await stack.start()
+    store = HttpStore(stack.store.address)
+    try:
+        return await _measure(stack, store, case, changes, rng)
+    finally:
+        await store.close()
+        await stack.stop()
+
+
+async def _measure(
+    stack: Stack,
+    store: HttpStore,
+    case: Case,
+    changes: int,
+    rng: random.Random,
+) -> CaseResult:
+    record = make_default_record()
+    found = await store.get(PRESET_KEY, time.time() + CALL_S)
+    key_version = found.version if found else 0
+    if found is None:
+        await _write(store, record, 0)
+        key_version = 1
+    await _spread(stack, record.version, time.monotonic())
+    result = CaseResult()
+    started = time.monotonic()
+    stack.store.core.calls.clear()
+    for number in range(changes):
+        await asyncio.sleep(rng.uniform(0.0, SETTLE_S))
+        record = _change(record, number)
+        await _write(store, record, key_version + number)
+        accepted = time.monotonic()
+        stack.store.set_faults(**case.faults)
+        timer = asyncio.create_task(_clear(stack, case.clear_after_s))
+        entry_s, agent_s = await _spread(stack, record.version, accepted)
+        await timer
+        result.entry_s += entry_s
+        result.agent_s += agent_s
+        stack.store.set_faults()
+    result.elapsed_s = time.monotonic() - started
+    result.calls = Counter(stack.store.core.calls)
+    return result
+
+
+async def _clear(stack: Stack, after_s: float) -> None:
+    if after_s:
+        await asyncio.sleep(after_s)
+        stack.store.set_faults()
+
+
+def _change(record: Record, number: int) -> Record:
+    name = "peak" if record.active != "peak" else "ordinary"
+    return apply_change(
+        record,
+        (Edit(("active",), record.active, name),),
+        change_id=f"change-{number}",
+        who="bench",
+        why="measure how soon it is in force",
+        when=time.time(),
+    )
+
+
+async def _write(store: HttpStore, record: Record, expected: int) -> None:
+    found = await store.swap(
+        PRESET_KEY, encode_record(record), expected, time.time() + CALL_S
+    )
+    if found is not None:
+        raise RuntimeError(f"version {found.version} is in the store")
+
+
+async def _spread(
+    stack: Stack, version: int, since: float
+) -> tuple[list[float], list[float]]:
+    """Wait until each process has a version; seconds for each."""
+    entries = [e.daemon.core for e in stack.entries]
+    agents = [w.agent.daemon.core for w in stack.workers]
+    waiting: list[Any] = [*entries, *agents]
+    took = dict.fromkeys(map(id, waiting), NEVER_S)
+    now = time.monotonic()
+    while waiting and now < since + SPREAD_WITHIN_S:
+        now = time.monotonic()
+        for core in [c for c in waiting if c.preset_version >= version]:
+            took[id(core)] = now - since
+            waiting.remove(core)
+        await asyncio.sleep(POLL_S)
+    return [took[id(c)] for c in entries], [took[id(c)] for c in agents]
+
+
+def _format(case: Case, result: CaseResult) -> str:
+    calls = sum(result.calls.values()) / result.elapsed_s / ENTRIES
+    kinds = ", ".join(f"{k} {n}" for k, n in sorted(result.calls.items()))
+    return (
+        f"| {case.name} | {_spread_ms(result.entry_s)} "
+        f"| {_spread_ms(result.agent_s)} | {calls:.2f} "
+        f"| {kinds} in {result.elapsed_s:.0f} s |"
+    )
+
+
+def _spread_ms(seconds: list[float]) -> str:
+    reached = [s for s in seconds if s != NEVER_S]
+    if len(reached) < len(seconds):
+        return f"{len(reached)} of {len(seconds)} in {SPREAD_WITHIN_S:g} s"
+    median = statistics.median(reached) * 1000
+    return f"{median:.0f} / {max(reached) * 1000:.0f}"
+
+
+async def _main(changes: int, names: list[str]) -> None:
+    print(
+        "| fault | entries, median / max ms | agents, median / max ms "
+        "| store calls per s and entry | calls |"
+    )
+    print("|---|---|---|---|---|")
+    for seed, case in enumerate(CASES):
+        if names and case.name not in names:
+            continue
+        result = await measure_case(case, changes, seed)
+        print(_format(case, result), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(int(sys.argv[1]), sys.argv[2:]))
