--- a/packages/briarford-cli/src/briarford_cli/preset_output.py
+++ b/packages/briarford-cli/src/briarford_cli/preset_output.py
@@ -91,19 +91,20 @@
         return
     show_edits(edits, fmt)
     if fmt is Format.TABLE:
-        _show_effects(before, after)
+        _show_effects(before, after, dry_run)
     if dry_run and fmt is Format.TABLE:
         Console().print("Dry run: nothing was changed.")
 
 
-def _show_effects(before: Record, after: Record) -> None:
+def _show_effects(before: Record, after: Record, dry_run: bool) -> None:
     """Show what becomes different for work, field by field."""
     changes = list_effects(before, after)
     console = Console()
     if not changes:
         console.print("Nothing that is in force changes.")
         return
-    console.print("In force from now on:")
+    head = "Would come into force:" if dry_run else "In force from now on:"
+    console.print(head)
     for path, old, new in changes:
         console.print(_describe_effect(path, old, new), highlight=False)
 
--- a/packages/briarford/tests/test_preset_effects.py
+++ b/packages/briarford/tests/test_preset_effects.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import copy
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -137,3 +138,13 @@
 
 def configs(preset):
     return placement_config(preset), limit_config(preset)
+
+
+def test_the_table_of_effects_in_the_docs_is_whole():
+    page = Path(__file__).parents[3] / "docs" / "design" / "presets.md"
+    text = page.read_text(encoding="utf-8")
+    rows = [line for line in text.splitlines() if line.startswith("| `")]
+    assert rows == [
+        f"| `{e.dotted}` | {e.meaning} | {e.queued} | {e.running} |"
+        for e in FIELD_EFFECTS
+    ]
