--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -58,6 +58,8 @@
     :param recall_after_ms: see :class:`PlacementConfig`.
     :param refuse_unreachable: see :class:`LimitConfig`.
     :param prefetch: credits per slot beyond the first.
+    :param waiting_per_notice: see :class:`PlacementConfig`.
+    :param notice_again_ms: see :class:`PlacementConfig`.
     """
 
     strategy: str = "soonest-end"
@@ -73,6 +75,8 @@
     recall_after_ms: float = 5.0
     refuse_unreachable: bool = True
     prefetch: int = 0
+    waiting_per_notice: int = 2
+    notice_again_ms: float = 20.0
 
     @property
     def capacity(self) -> float:
@@ -265,6 +269,8 @@
             placement=PlacementConfig(
                 leave_slow_slots=cfg.leave_slow_slots,
                 aging_weight=cfg.aging_weight,
+                waiting_per_notice=cfg.waiting_per_notice,
+                notice_again_ms=cfg.notice_again_ms,
             ),
             limits=LimitConfig(refuse_unreachable=cfg.refuse_unreachable),
         )
@@ -487,6 +493,8 @@
     parser.add_argument("--prefetch", type=int, default=0)
     parser.add_argument("--aging", type=float, default=1.0)
     parser.add_argument("--recall-ms", type=float, default=5.0)
+    parser.add_argument("--per-notice", type=int, default=2)
+    parser.add_argument("--again-ms", type=float, default=20.0)
     parser.add_argument("--announce-all", action="store_true")
     parser.add_argument("--use-slow-slots", action="store_true")
     parser.add_argument("--admit-all", action="store_true")
@@ -505,6 +513,8 @@
             prefetch=args.prefetch,
             aging_weight=args.aging,
             recall_after_ms=args.recall_ms,
+            waiting_per_notice=args.per_notice,
+            notice_again_ms=args.again_ms,
             announce_all=args.announce_all,
             leave_slow_slots=not args.use_slow_slots,
             refuse_unreachable=not args.admit_all,
--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -35,6 +35,9 @@
         this many times its remaining time.
     :param recall_after_ms: how long demand waits before an agent recalls
         idle credits of other entries.
+    :param waiting_per_notice: tasks that must wait per worker that is told
+        of them by a message of its own.
+    :param notice_again_ms: how long such a worker is not told again.
     :param quotas: by team; a team that is not listed has the default quota.
     """
 
@@ -44,4 +47,6 @@
     aging_weight: float = 1.0
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
+    waiting_per_notice: int = 2
+    notice_again_ms: float = 20.0
     quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -7,6 +7,7 @@
 __all__ = ["Grant", "SlotGranter"]
 
 RECALL_AFTER_S = 0.005
+DEMAND_KEPT_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,8 +33,11 @@
     :param recalled: part of ``granted`` that was asked back.
     :param running: tasks of the entry that run.
     :param demand: tasks that wait at the entry, as it last reported.
+    :param demand_until: Unix seconds after which the report is too old to
+        count; None until the turn that follows the report.
     :param waiting_since: Unix seconds since which its demand is not met.
     :param lag: slots that it should have had in proportion to its demand.
+    :param has_batch: whether a batch goes to it in any case.
     """
 
     attached: bool = True
@@ -41,8 +45,10 @@
     recalled: int = 0
     running: int = 0
     demand: int = 0
+    demand_until: float | None = None
     waiting_since: float | None = None
     lag: float = 0.0
+    has_batch: bool = True
 
     @property
     def unmet(self) -> int:
@@ -98,6 +104,7 @@
         state = self._entries.setdefault(entry, EntryCredits())
         _take_back(state)
         state.attached = True
+        state.has_batch = True
 
     def detach(self, entry: str) -> None:
         """End a session: credits come back, running tasks stay counted."""
@@ -117,6 +124,7 @@
         state = self._entries.get(entry)
         if state is not None and state.attached:
             state.demand = demand
+            state.demand_until = None
 
     def started(self, entry: str) -> bool:
         """Spend a credit of an entry.
@@ -136,6 +144,7 @@
         if state is None or state.running == 0:
             return
         state.running -= 1
+        state.has_batch = True
         self._forget_if_gone(entry)
 
     def returned(self, entry: str, count: int) -> None:
@@ -152,8 +161,12 @@
 
     def turn(self, now: float) -> list[Grant]:
         """Grant free slots and recall credits that are wanted elsewhere."""
+        for state in self._entries.values():
+            _expire_demand(state, now)
         credits = self._grant_free()
         recalls = self._recall(now)
+        for state in self._entries.values():
+            state.has_batch = False
         names = sorted(credits.keys() | recalls.keys())
         return [Grant(n, credits.get(n, 0), recalls.get(n, 0)) for n in names]
 
@@ -179,6 +192,11 @@
         return credits
 
     def _choose_entry(self) -> str | None:
+        """Choose who gets a free slot; None to keep it in hand.
+
+        Without demand a slot goes only where a batch goes in any case, and
+        only up to an even part of the slots.
+        """
         open_ = {
             n: e
             for n, e in self._entries.items()
@@ -187,7 +205,11 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
-        return min(open_, key=lambda n: (open_[n].granted, n), default=None)
+        part = -(-self._slots // max(1, len(open_)))
+        idle = {
+            n: e for n, e in open_.items() if e.has_batch and e.granted < part
+        }
+        return min(idle, key=lambda n: (idle[n].granted, n), default=None)
 
     def _recall(self, now: float) -> dict[str, int]:
         if self._closed or self.free < 0:
@@ -241,6 +263,13 @@
     state.lag = 0.0
 
 
+def _expire_demand(state: EntryCredits, now: float) -> None:
+    if state.demand_until is None:
+        state.demand_until = now + DEMAND_KEPT_S
+    if now >= state.demand_until:
+        state.demand = 0
+
+
 def _spend(state: EntryCredits, count: int) -> None:
     state.granted -= count
     state.recalled = min(state.recalled, state.granted)
--- a/packages/briarford/src/briarford/placement/groups.py
+++ b/packages/briarford/src/briarford/placement/groups.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+from collections.abc import Iterable
 from functools import lru_cache
 
 from briarford.placement.state import WorkerShape, WorkerState
@@ -111,6 +112,10 @@
                 self.refresh(worker)
         return None
 
+    def members(self) -> Iterable[WorkerState]:
+        """Return all workers."""
+        return self._workers.values()
+
     def all_ready(self) -> list[WorkerState]:
         """Return all workers that are ready."""
         return [w for w in self._workers.values() if w.ready]
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -280,8 +280,38 @@
         return placed
 
     def announce(self, now: float) -> list[str]:
-        """Return the workers to tell of waiting tasks now."""
-        return []
+        """Return the workers to tell of waiting tasks now.
+
+        Call it after :meth:`place`, and send each of them a batch. Workers
+        that get a start in this turn are told by that batch.
+        """
+        names: list[str] = []
+        for pool in self._pools.values():
+            if pool.queued and self._strategy.uses_credits:
+                names += self._tell(pool, now)
+        return names
+
+    def _tell(self, pool: ServicePool, now: float) -> list[str]:
+        wanted = -(-pool.queued // self._cfg.waiting_per_notice)
+        again_s = self._cfg.notice_again_ms / MS_PER_S
+        told = sum(
+            w.told_at + again_s > now
+            for g in pool.groups.values()
+            for w in g.members()
+        )
+        if told >= min(wanted, pool.worker_count):
+            return []
+        untold = [
+            w
+            for g in pool.groups.values()
+            for w in g.members()
+            if w.open and w.told_at + again_s <= now
+        ]
+        untold.sort(key=lambda w: (w.running + w.credits, w.cost_class))
+        chosen = untold[: wanted - told]
+        for worker in chosen:
+            worker.told_at = now
+        return [w.name for w in chosen]
 
     def take_verdicts(self) -> list[Verdict]:
         """Return the changes of workers' standing since the last call."""
@@ -323,8 +353,8 @@
             return False
         worker = self._choose(pool, class_, job, len(job.tasks))
         if worker is None:
-            return self._place_late(pool, class_, placed)
-        self._start(pool, class_, job, worker, placed)
+            return self._place_late(pool, class_, now, placed)
+        self._start(pool, class_, job, worker, now, placed)
         return True
 
     def _has_room(self, class_: FitClass) -> bool:
@@ -336,6 +366,7 @@
         self,
         pool: ServicePool,
         class_: FitClass,
+        now: float,
         placed: list[Placed],
     ) -> bool:
         """Offer a slot that the first job leaves empty to a late one."""
@@ -345,7 +376,7 @@
         worker = self._choose(pool, class_, job, class_.queue.size)
         if worker is None:
             return False
-        self._start(pool, class_, job, worker, placed)
+        self._start(pool, class_, job, worker, now, placed)
         return True
 
     def _choose(
@@ -366,6 +397,7 @@
         class_: FitClass,
         job: JobEntry,
         worker: WorkerState,
+        now: float,
         placed: list[Placed],
     ) -> None:
         task = class_.queue.take(job)
@@ -373,6 +405,7 @@
         run_s = pool.speeds.run_s(share.team, job.job_id)
         share.used += run_s / share.weight
         pool.start(job, worker)
+        worker.told_at = now
         if not job.tasks:
             pool.forget_entry(job)
         placed.append(Placed(task, worker.name, self._strategy_name))
--- a/packages/briarford/src/briarford/placement/state.py
+++ b/packages/briarford/src/briarford/placement/state.py
@@ -48,6 +48,7 @@
     :param cost_class: logarithmic class of the time of a usual task there.
     :param ready_as: the cost class under which it is listed as ready; None
         if it is not listed.
+    :param told_at: Unix seconds at which it was last told of waiting tasks.
     """
 
     name: str
@@ -61,6 +62,7 @@
     allowance: int | None = None
     cost_class: int = 0
     ready_as: int | None = None
+    told_at: float = 0.0
 
     @property
     def ready(self) -> bool:
