--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -59,6 +59,7 @@
     :param refuse_unreachable: see :class:`LimitConfig`.
     :param prefetch: credits per slot beyond the first.
     :param waiting_per_notice: see :class:`PlacementConfig`.
+    :param notice_after_ms: see :class:`PlacementConfig`.
     :param notice_again_ms: see :class:`PlacementConfig`.
     """
 
@@ -76,6 +77,7 @@
     refuse_unreachable: bool = True
     prefetch: int = 0
     waiting_per_notice: int = 2
+    notice_after_ms: float = 50.0
     notice_again_ms: float = 20.0
 
     @property
@@ -270,6 +272,7 @@
                 leave_slow_slots=cfg.leave_slow_slots,
                 aging_weight=cfg.aging_weight,
                 waiting_per_notice=cfg.waiting_per_notice,
+                notice_after_ms=cfg.notice_after_ms,
                 notice_again_ms=cfg.notice_again_ms,
             ),
             limits=LimitConfig(refuse_unreachable=cfg.refuse_unreachable),
@@ -494,6 +497,7 @@
     parser.add_argument("--aging", type=float, default=1.0)
     parser.add_argument("--recall-ms", type=float, default=5.0)
     parser.add_argument("--per-notice", type=int, default=2)
+    parser.add_argument("--after-ms", type=float, default=50.0)
     parser.add_argument("--again-ms", type=float, default=20.0)
     parser.add_argument("--announce-all", action="store_true")
     parser.add_argument("--use-slow-slots", action="store_true")
@@ -514,6 +518,7 @@
             aging_weight=args.aging,
             recall_after_ms=args.recall_ms,
             waiting_per_notice=args.per_notice,
+            notice_after_ms=args.after_ms,
             notice_again_ms=args.again_ms,
             announce_all=args.announce_all,
             leave_slow_slots=not args.use_slow_slots,
--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -37,6 +37,8 @@
         idle credits of other entries.
     :param waiting_per_notice: tasks that must wait per worker that is told
         of them by a message of its own.
+    :param notice_after_ms: waiting tasks that will get a slot of the entry's
+        own in this time are not counted for that.
     :param notice_again_ms: how long such a worker is not told again.
     :param quotas: by team; a team that is not listed has the default quota.
     """
@@ -48,5 +50,6 @@
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
     waiting_per_notice: int = 2
+    notice_after_ms: float = 50.0
     notice_again_ms: float = 20.0
     quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -8,6 +8,7 @@
 
 RECALL_AFTER_S = 0.005
 DEMAND_KEPT_S = 0.1
+SAVED_BATCH_LAG = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +56,11 @@
         """Tasks that wait and have no credit under way."""
         return max(0, self.demand - self.granted + self.recalled)
 
+    @property
+    def rank(self) -> float:
+        """Order among entries with demand; a batch saved counts as lag."""
+        return self.lag + (SAVED_BATCH_LAG if self.has_batch else 0.0)
+
     @property
     def excess(self) -> int:
         """Credits that no waiting task needs and nobody asked back."""
@@ -280,6 +286,6 @@
     total = sum(e.unmet for e in hungry.values())
     for state in hungry.values():
         state.lag += state.unmet / total
-    chosen = max(hungry, key=lambda n: (hungry[n].lag, n))
+    chosen = max(hungry, key=lambda n: (hungry[n].rank, n))
     hungry[chosen].lag -= 1.0
     return chosen
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
@@ -213,9 +214,9 @@
         return pool.queued if pool else 0
 
     def demand_of(self, name: str) -> int:
-        """Count tasks that wait for a slot of this worker.
+        """Return a worker's part of the tasks that wait for a slot.
 
-        None does where the worker is leaving or throttled.
+        It is none where the worker is leaving or throttled.
         """
         worker = self._workers.get(name)
         if worker is None or worker.leaving or worker.allowance is not None:
@@ -223,7 +224,9 @@
         pool = self._pools[worker.service]
         group = pool.groups[worker.shape]
         return sum(
-            c.queue.size for c in pool.classes.values() if group in c.groups
+            -(-c.queue.size // sum(len(g) for g in c.groups))
+            for c in pool.classes.values()
+            if group in c.groups
         )
 
     def team_demand(self) -> dict[str, int]:
@@ -292,7 +295,11 @@
         return names
 
     def _tell(self, pool: ServicePool, now: float) -> list[str]:
-        wanted = -(-pool.queued // self._cfg.waiting_per_notice)
+        ends_per_s = pool.running / pool.speeds.usual_run_s()
+        soon = ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+        wanted = math.ceil((pool.queued - soon) / self._cfg.waiting_per_notice)
+        if wanted <= 0:
+            return []
         again_s = self._cfg.notice_again_ms / MS_PER_S
         told = sum(
             w.told_at + again_s > now
