--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -61,6 +61,8 @@
     :param waiting_per_notice: see :class:`PlacementConfig`.
     :param notice_after_ms: see :class:`PlacementConfig`.
     :param notice_again_ms: see :class:`PlacementConfig`.
+    :param idle_credits: see :class:`SlotGranter`.
+    :param tell_spare: whether agents tell entries of slots kept in hand.
     """
 
     strategy: str = "soonest-end"
@@ -79,6 +81,8 @@
     waiting_per_notice: int = 2
     notice_after_ms: float = 50.0
     notice_again_ms: float = 20.0
+    idle_credits: int = 3
+    tell_spare: bool = True
 
     @property
     def capacity(self) -> float:
@@ -118,6 +122,7 @@
     recall: int = 0
     returned: int = 0
     demand: int = 0
+    spare: int = 0
 
     @property
     def useful(self) -> bool:
@@ -284,7 +289,9 @@
         return placer
 
     def _make_granter(self) -> SlotGranter:
-        granter = SlotGranter(self.cfg.recall_after_ms / MS_PER_S)
+        granter = SlotGranter(
+            self.cfg.recall_after_ms / MS_PER_S, self.cfg.idle_credits
+        )
         for entry in range(self.cfg.entries):
             granter.attach(f"{entry}")
         granter.set_slots(SLOTS * (1 + self.cfg.prefetch))
@@ -330,6 +337,11 @@
             if status is TaskStatus.DONE:
                 self._take_result(task, run_s)
             else:
+                if self._jobs[task.ref.job_id].ended_at is not None:
+                    continue
+                if placer.uses_credits:
+                    placer.enqueue([task])
+                    continue
                 again = replace(
                     task, ref=TaskRef(task.ref.job_id, task.ref.index)
                 )
@@ -338,6 +350,7 @@
                     partial(self._retry, entry, again),
                 )
         placer.add_credits(f"{worker}", batch.credits)
+        placer.set_spare(f"{worker}", batch.spare)
         batches: dict[int, Batch] = {}
         if batch.recall:
             returned = placer.return_credits(f"{worker}", batch.recall)
@@ -451,6 +464,7 @@
             if turn_at is not None and turn_at > self._now:
                 self._at(turn_at, partial(self._turn_agent, worker, {}))
         for entry, batch in batches.items():
+            batch.spare = granter.spare if self.cfg.tell_spare else 0
             self._send(
                 entry,
                 worker,
@@ -498,6 +512,8 @@
     parser.add_argument("--recall-ms", type=float, default=5.0)
     parser.add_argument("--per-notice", type=int, default=2)
     parser.add_argument("--after-ms", type=float, default=50.0)
+    parser.add_argument("--idle", type=int, default=3)
+    parser.add_argument("--no-spare", action="store_true")
     parser.add_argument("--again-ms", type=float, default=20.0)
     parser.add_argument("--announce-all", action="store_true")
     parser.add_argument("--use-slow-slots", action="store_true")
@@ -520,6 +536,8 @@
             waiting_per_notice=args.per_notice,
             notice_after_ms=args.after_ms,
             notice_again_ms=args.again_ms,
+            idle_credits=args.idle,
+            tell_spare=not args.no_spare,
             announce_all=args.announce_all,
             leave_slow_slots=not args.use_slow_slots,
             refuse_unreachable=not args.admit_all,
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -7,6 +7,7 @@
 __all__ = ["Grant", "SlotGranter"]
 
 RECALL_AFTER_S = 0.005
+IDLE_CREDITS = 3
 DEMAND_KEPT_S = 0.1
 SAVED_BATCH_LAG = 2.0
 
@@ -75,11 +76,23 @@
 
     :param recall_after_s: seconds that demand waits before idle credits of
         other entries are recalled for it.
+    :param idle_credits: credits that an entry without demand may hold.
     """
 
-    __slots__ = ("_closed", "_entries", "_recall_after_s", "_slots")
-
-    def __init__(self, recall_after_s: float = RECALL_AFTER_S) -> None:
+    __slots__ = (
+        "_closed",
+        "_entries",
+        "_idle_credits",
+        "_recall_after_s",
+        "_slots",
+    )
+
+    def __init__(
+        self,
+        recall_after_s: float = RECALL_AFTER_S,
+        idle_credits: int = IDLE_CREDITS,
+    ) -> None:
+        self._idle_credits = idle_credits
         self._recall_after_s = recall_after_s
         self._slots = 0
         self._closed = False
@@ -105,6 +118,11 @@
         """Slots that are neither granted nor running."""
         return self._slots - self.granted - self.running
 
+    @property
+    def spare(self) -> int:
+        """Slots kept in hand, for a start that comes without a credit."""
+        return 0 if self._closed else max(0, self.free)
+
     def attach(self, entry: str) -> None:
         """Begin a session with an entry; it starts without credits."""
         state = self._entries.setdefault(entry, EntryCredits())
@@ -133,14 +151,17 @@
             state.demand_until = None
 
     def started(self, entry: str) -> bool:
-        """Spend a credit of an entry.
+        """Spend a credit of an entry, or a spare slot if it holds none.
 
-        :return: False if it holds none: the start must be rejected.
+        :return: False if there is neither: the start must be rejected.
         """
         state = self._entries.get(entry)
-        if state is None or state.granted == 0:
+        if state is None or not state.attached:
+            return False
+        if state.granted:
+            _spend(state, 1)
+        elif not self.spare:
             return False
-        _spend(state, 1)
         state.running += 1
         return True
 
@@ -211,7 +232,7 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
-        part = -(-self._slots // max(1, len(open_)))
+        part = min(self._idle_credits, -(-self._slots // max(1, len(open_))))
         idle = {
             n: e for n, e in open_.items() if e.has_batch and e.granted < part
         }
--- a/packages/briarford/src/briarford/placement/groups.py
+++ b/packages/briarford/src/briarford/placement/groups.py
@@ -73,8 +73,11 @@
         self.refresh(worker)
 
     def count_start(self, worker: WorkerState) -> None:
-        """Spend a credit, if there is one, and count a task as running."""
-        worker.credits = max(0, worker.credits - 1)
+        """Spend a credit or a spare slot, and count a task as running."""
+        if worker.credits:
+            worker.credits -= 1
+        else:
+            worker.spare = max(0, worker.spare - 1)
         worker.running += 1
         if worker.allowance is not None:
             worker.allowance -= 1
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -175,6 +175,15 @@
         pool.credits += count
         pool.groups[worker.shape].refresh(worker)
 
+    def set_spare(self, name: str, count: int) -> None:
+        """Take in how many slots a worker keeps in hand for any entry."""
+        worker = self._workers.get(name)
+        if worker is None:
+            return
+        worker.spare = count
+        pool = self._pools[worker.service]
+        pool.groups[worker.shape].refresh(worker)
+
     def return_credits(self, name: str, count: int) -> int:
         """Give up to ``count`` unspent credits back; return how many."""
         worker = self._workers.get(name)
@@ -269,6 +278,8 @@
         pool.end(job_id, task.team, state)
         if state is None:
             return
+        if status is TaskStatus.NOT_STARTED:
+            state.spare = 0
         self._judge(pool, state, job_id, status, now)
         if status is TaskStatus.DONE:
             self._update_cost(pool, state)
--- a/packages/briarford/src/briarford/placement/state.py
+++ b/packages/briarford/src/briarford/placement/state.py
@@ -42,6 +42,8 @@
     :param shape: what it could hold.
     :param slots: tasks that it runs at the same time, for all entries.
     :param credits: unspent slots granted to this entry.
+    :param spare: slots that the worker kept in hand when it last said so; a
+        start on one of them may be rejected.
     :param running: tasks that this entry has started there.
     :param leaving: whether it takes no new work.
     :param allowance: starts that a guard still allows; None for no limit.
@@ -57,6 +59,7 @@
     shape: WorkerShape
     slots: int
     credits: int = 0
+    spare: int = 0
     running: int = 0
     leaving: bool = False
     allowance: int | None = None
@@ -66,8 +69,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a task can be started there now, on a credit."""
-        if self.leaving or self.credits <= 0:
+        """Whether a task can be started there now."""
+        if self.leaving or self.credits + self.spare <= 0:
             return False
         return self.allowance is None or self.allowance > 0
 
