--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -232,11 +232,13 @@
             return 0
         pool = self._pools[worker.service]
         group = pool.groups[worker.shape]
-        return sum(
-            -(-c.queue.size // sum(len(g) for g in c.groups))
+        waiting = sum(
+            c.queue.size / sum(len(g) for g in c.groups)
             for c in pool.classes.values()
             if group in c.groups
         )
+        served = self._served_soon(pool) / pool.worker_count
+        return max(0, math.ceil(waiting - served))
 
     def team_demand(self) -> dict[str, int]:
         """Count running and waiting tasks by team, to report to entries."""
@@ -305,6 +307,11 @@
                 names += self._tell(pool, now)
         return names
 
+    def _served_soon(self, pool: ServicePool) -> float:
+        """Expect how many waiting tasks get an own slot without notice."""
+        ends_per_s = pool.running / pool.speeds.usual_run_s()
+        return ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+
     def _tell(self, pool: ServicePool, now: float) -> list[str]:
         ends_per_s = pool.running / pool.speeds.usual_run_s()
         soon = ends_per_s * self._cfg.notice_after_ms / MS_PER_S
