--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -32,6 +32,7 @@
 SERVICE = "lease-desk"
 SLOTS = 8
 SLOWNESS = (0.6, 0.6, 0.8, 0.8, 1.0, 1.0, 1.0, 1.3, 1.3, 2.0, 3.0)
+STRATEGIES = ("soonest-end", "most-credits", "random", "round-robin")
 ZONES = 4
 SAME_ZONE_S = 0.00025
 OTHER_ZONE_S = 0.0015
@@ -53,16 +54,9 @@
     :param slowness: run time of each worker relative to a usual one.
     :param deadline_s: seconds that a client waits at least.
     :param announce_all: whether new demand is told to every agent at once.
-    :param leave_slow_slots: see :class:`PlacementConfig`.
-    :param aging_weight: see :class:`PlacementConfig`.
-    :param recall_after_ms: see :class:`PlacementConfig`.
-    :param refuse_unreachable: see :class:`LimitConfig`.
+    :param placement: numbers of placement.
+    :param limits: numbers of limits.
     :param prefetch: credits per slot beyond the first.
-    :param waiting_per_notice: see :class:`PlacementConfig`.
-    :param notice_after_ms: see :class:`PlacementConfig`.
-    :param notice_again_ms: see :class:`PlacementConfig`.
-    :param idle_credits: see :class:`SlotGranter`.
-    :param tell_spare: whether agents tell entries of slots kept in hand.
     """
 
     strategy: str = "soonest-end"
@@ -73,16 +67,9 @@
     slowness: tuple[float, ...] = SLOWNESS
     deadline_s: float = 10.0
     announce_all: bool = False
-    leave_slow_slots: bool = True
-    aging_weight: float = 1.0
-    recall_after_ms: float = 5.0
-    refuse_unreachable: bool = True
+    placement: PlacementConfig = field(default_factory=PlacementConfig)
+    limits: LimitConfig = field(default_factory=LimitConfig)
     prefetch: int = 0
-    waiting_per_notice: int = 2
-    notice_after_ms: float = 50.0
-    notice_again_ms: float = 20.0
-    idle_credits: int = 3
-    tell_spare: bool = True
 
     @property
     def capacity(self) -> float:
@@ -273,14 +260,8 @@
             f"zone-{entry % ZONES}",
             random.Random(cfg.seed * 1000 + entry),
             cfg.strategy,
-            placement=PlacementConfig(
-                leave_slow_slots=cfg.leave_slow_slots,
-                aging_weight=cfg.aging_weight,
-                waiting_per_notice=cfg.waiting_per_notice,
-                notice_after_ms=cfg.notice_after_ms,
-                notice_again_ms=cfg.notice_again_ms,
-            ),
-            limits=LimitConfig(refuse_unreachable=cfg.refuse_unreachable),
+            placement=cfg.placement,
+            limits=cfg.limits,
         )
         placer.set_entries(cfg.entries)
         info = WorkerInfo(SERVICE, SLOTS, 32.0, 64_000)
@@ -289,9 +270,7 @@
         return placer
 
     def _make_granter(self) -> SlotGranter:
-        granter = SlotGranter(
-            self.cfg.recall_after_ms / MS_PER_S, self.cfg.idle_credits
-        )
+        granter = SlotGranter(self.cfg.placement)
         for entry in range(self.cfg.entries):
             granter.attach(f"{entry}")
         granter.set_slots(SLOTS * (1 + self.cfg.prefetch))
@@ -464,7 +443,7 @@
             if turn_at is not None and turn_at > self._now:
                 self._at(turn_at, partial(self._turn_agent, worker, {}))
         for entry, batch in batches.items():
-            batch.spare = granter.spare if self.cfg.tell_spare else 0
+            batch.spare = granter.spare
             self._send(
                 entry,
                 worker,
@@ -495,31 +474,44 @@
     return Trial(cfg).run()
 
 
+def _parse() -> argparse.Namespace:
+    default = PlacementConfig()
+    parser = argparse.ArgumentParser(description=__doc__)
+    add = parser.add_argument
+    add("--strategies", nargs="+", default=list(STRATEGIES))
+    add("--loads", nargs="+", type=float, default=[0.7])
+    add("--seeds", nargs="+", type=int, default=[1])
+    add("--seconds", type=float, default=30.0)
+    add("--entries", type=int, default=3)
+    add("--deadline-s", type=float, default=10.0)
+    add("--prefetch", type=int, default=0)
+    add("--aging-weight", type=float, default=default.aging_weight)
+    add("--recall-after-ms", type=float, default=default.recall_after_ms)
+    add("--idle-credits", type=int, default=default.idle_credits)
+    add("--spare-untold", type=int, default=default.spare_untold)
+    add("--per-notice", type=int, default=default.waiting_per_notice)
+    add("--notice-after-ms", type=float, default=default.notice_after_ms)
+    add("--notice-again-ms", type=float, default=default.notice_again_ms)
+    add("--announce-all", action="store_true")
+    add("--use-slow-slots", action="store_true")
+    add("--admit-all", action="store_true")
+    add("--alike", action="store_true")
+    return parser.parse_args()
+
+
 def main() -> None:
     """Print one line per strategy, load and seed."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument(
-        "--strategies",
-        nargs="+",
-        default=["soonest-end", "most-credits", "random", "round-robin"],
+    args = _parse()
+    placement = PlacementConfig(
+        leave_slow_slots=not args.use_slow_slots,
+        aging_weight=args.aging_weight,
+        recall_after_ms=args.recall_after_ms,
+        idle_credits=args.idle_credits,
+        spare_untold=args.spare_untold,
+        waiting_per_notice=args.per_notice,
+        notice_after_ms=args.notice_after_ms,
+        notice_again_ms=args.notice_again_ms,
     )
-    parser.add_argument("--loads", nargs="+", type=float, default=[0.7])
-    parser.add_argument("--seeds", nargs="+", type=int, default=[1])
-    parser.add_argument("--seconds", type=float, default=120.0)
-    parser.add_argument("--entries", type=int, default=3)
-    parser.add_argument("--prefetch", type=int, default=0)
-    parser.add_argument("--aging", type=float, default=1.0)
-    parser.add_argument("--recall-ms", type=float, default=5.0)
-    parser.add_argument("--per-notice", type=int, default=2)
-    parser.add_argument("--after-ms", type=float, default=50.0)
-    parser.add_argument("--idle", type=int, default=3)
-    parser.add_argument("--no-spare", action="store_true")
-    parser.add_argument("--again-ms", type=float, default=20.0)
-    parser.add_argument("--announce-all", action="store_true")
-    parser.add_argument("--use-slow-slots", action="store_true")
-    parser.add_argument("--admit-all", action="store_true")
-    parser.add_argument("--alike", action="store_true")
-    args = parser.parse_args()
     for strategy, load, seed in itertools.product(
         args.strategies, args.loads, args.seeds
     ):
@@ -530,17 +522,11 @@
             seconds=args.seconds,
             entries=args.entries,
             slowness=(1.0,) * len(SLOWNESS) if args.alike else SLOWNESS,
-            prefetch=args.prefetch,
-            aging_weight=args.aging,
-            recall_after_ms=args.recall_ms,
-            waiting_per_notice=args.per_notice,
-            notice_after_ms=args.after_ms,
-            notice_again_ms=args.again_ms,
-            idle_credits=args.idle,
-            tell_spare=not args.no_spare,
+            deadline_s=args.deadline_s,
             announce_all=args.announce_all,
-            leave_slow_slots=not args.use_slow_slots,
-            refuse_unreachable=not args.admit_all,
+            placement=placement,
+            limits=LimitConfig(refuse_unreachable=not args.admit_all),
+            prefetch=args.prefetch,
         )
         print(f"seed {seed} {run_trial(cfg).line()}", flush=True)
 
--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -35,6 +35,10 @@
         this many times its remaining time.
     :param recall_after_ms: how long demand waits before an agent recalls
         idle credits of other entries.
+    :param idle_credits: credits of one worker that an entry without waiting
+        tasks may hold.
+    :param spare_untold: slots that an agent keeps in hand without telling
+        entries of them; a higher number means fewer rejected starts.
     :param waiting_per_notice: tasks that must wait per worker that is told
         of them by a message of its own.
     :param notice_after_ms: waiting tasks that will get a slot of the entry's
@@ -49,7 +53,9 @@
     aging_weight: float = 1.0
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
+    idle_credits: int = 3
+    spare_untold: int = 1
     waiting_per_notice: int = 2
-    notice_after_ms: float = 50.0
+    notice_after_ms: float = 400.0
     notice_again_ms: float = 20.0
     quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 
+from briarford.placement.config import PlacementConfig
+
 __all__ = ["Grant", "SlotGranter"]
 
-RECALL_AFTER_S = 0.005
-IDLE_CREDITS = 3
+MS_PER_S = 1000.0
 DEMAND_KEPT_S = 0.1
 SAVED_BATCH_LAG = 2.0
 
@@ -74,26 +75,13 @@
     At any time ``granted + running + free == slots``, summed over entries;
     ``free`` is below zero only after ``set_slots`` took away slots in use.
 
-    :param recall_after_s: seconds that demand waits before idle credits of
-        other entries are recalled for it.
-    :param idle_credits: credits that an entry without demand may hold.
+    :param cfg: numbers of placement that are in force.
     """
 
-    __slots__ = (
-        "_closed",
-        "_entries",
-        "_idle_credits",
-        "_recall_after_s",
-        "_slots",
-    )
-
-    def __init__(
-        self,
-        recall_after_s: float = RECALL_AFTER_S,
-        idle_credits: int = IDLE_CREDITS,
-    ) -> None:
-        self._idle_credits = idle_credits
-        self._recall_after_s = recall_after_s
+    __slots__ = ("_cfg", "_closed", "_entries", "_slots")
+
+    def __init__(self, cfg: PlacementConfig | None = None) -> None:
+        self._cfg = cfg or PlacementConfig()
         self._slots = 0
         self._closed = False
         self._entries: dict[str, EntryCredits] = {}
@@ -120,9 +108,24 @@
 
     @property
     def spare(self) -> int:
-        """Slots kept in hand, for a start that comes without a credit."""
+        """Slots in hand to tell entries of, for starts without a credit.
+
+        Some are not told: by the time that a start comes, they may be gone.
+        """
+        return max(0, self._in_hand - self._cfg.spare_untold)
+
+    @property
+    def _in_hand(self) -> int:
         return 0 if self._closed else max(0, self.free)
 
+    @property
+    def _recall_after_s(self) -> float:
+        return self._cfg.recall_after_ms / MS_PER_S
+
+    def configure(self, cfg: PlacementConfig) -> None:
+        """Take in the numbers of another preset."""
+        self._cfg = cfg
+
     def attach(self, entry: str) -> None:
         """Begin a session with an entry; it starts without credits."""
         state = self._entries.setdefault(entry, EntryCredits())
@@ -160,7 +163,7 @@
             return False
         if state.granted:
             _spend(state, 1)
-        elif not self.spare:
+        elif not self._in_hand:
             return False
         state.running += 1
         return True
@@ -232,7 +235,9 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
-        part = min(self._idle_credits, -(-self._slots // max(1, len(open_))))
+        part = min(
+            self._cfg.idle_credits, -(-self._slots // max(1, len(open_)))
+        )
         idle = {
             n: e for n, e in open_.items() if e.has_batch and e.granted < part
         }
