--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -386,7 +386,8 @@
         took_s = job.ended_at - job.arrives_at
         own_s = job.slowest_s + 2 * (CLIENT_S + SAME_ZONE_S)
         self.report.done += 1
-        self.report.work_in_time_s += sum(job.run_s)
+        if self._now <= self.cfg.seconds:
+            self.report.work_in_time_s += sum(job.run_s)
         self.report.ratios.append(took_s / job.ideal_s(self.cfg))
         self.report.overheads.append(took_s / own_s)
 
--- a/packages/briarford/src/briarford/limits/admission.py
+++ b/packages/briarford/src/briarford/limits/admission.py
@@ -39,9 +39,11 @@
     team_slots: int | None = None
 
 
-def expected_s(tasks: int, load: Load) -> float:
+def expected_s(tasks: int, load: Load, margin: float = 1.0) -> float:
     """Expect in how many seconds a job of so many tasks would end.
 
+    :param margin: how many times the expected wait to count.
+
     The job waits at most for all that is queued, or for what its own team
     has queued at the team's part of the slots, whichever is sooner.
     """
@@ -53,7 +55,7 @@
     if load.team_slots is not None:
         quota_s = (load.team_queued_s + own_s) / max(load.team_slots, 1)
         waiting_s = max(waiting_s, quota_s)
-    return waiting_s + load.run_s
+    return waiting_s * margin + load.run_s
 
 
 def check_deadline(
@@ -66,7 +68,7 @@
         )
     if not cfg.refuse_unreachable:
         return None
-    needed_s = expected_s(len(spec.tasks), load) * cfg.admission_margin
+    needed_s = expected_s(len(spec.tasks), load, cfg.admission_margin)
     late_s = now + needed_s - spec.deadline
     if late_s <= 0:
         return None
--- a/packages/briarford/src/briarford/limits/config.py
+++ b/packages/briarford/src/briarford/limits/config.py
@@ -13,7 +13,7 @@
 
     :param max_queued: tasks that may wait at one entry for one service.
     :param admission_margin: a job is admitted if this many times its
-        expected time fits before its deadline.
+        expected wait fits before its deadline, beside one run time.
     :param refuse_unreachable: whether deadlines are checked at admission.
     :param retry_share: retries allowed per first try.
     :param hedge_share: hedges allowed per first try.
@@ -34,7 +34,7 @@
     """
 
     max_queued: int = 10_000
-    admission_margin: float = 1.2
+    admission_margin: float = 2.0
     refuse_unreachable: bool = True
     retry_share: float = 0.1
     hedge_share: float = 0.05
--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -56,6 +56,6 @@
     idle_credits: int = 3
     spare_untold: int = 1
     waiting_per_notice: int = 2
-    notice_after_ms: float = 400.0
-    notice_again_ms: float = 20.0
+    notice_after_ms: float = 600.0
+    notice_again_ms: float = 250.0
     quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -309,11 +309,11 @@
 
     def _served_soon(self, pool: ServicePool) -> float:
         """Expect how many waiting tasks get an own slot without notice."""
-        ends_per_s = pool.running / pool.speeds.usual_run_s()
+        ends_per_s = pool.running / pool.speeds.slot_s("")
         return ends_per_s * self._cfg.notice_after_ms / MS_PER_S
 
     def _tell(self, pool: ServicePool, now: float) -> list[str]:
-        ends_per_s = pool.running / pool.speeds.usual_run_s()
+        ends_per_s = pool.running / pool.speeds.slot_s("")
         soon = ends_per_s * self._cfg.notice_after_ms / MS_PER_S
         wanted = math.ceil((pool.queued - soon) / self._cfg.waiting_per_notice)
         if wanted <= 0:
@@ -462,8 +462,7 @@
             deadline=task.deadline,
             queued_at=task.queued_at,
             tasks=deque(),
-            run_s=pool.speeds.run_s(task.team, task.ref.job_id)
-            * pool.speeds.used_slowness(),
+            run_s=pool.speeds.slot_s(task.team),
         )
 
     def _rank(self, pool: ServicePool, job: JobEntry) -> None:
@@ -481,12 +480,11 @@
             if s.queued or s.team == team
         )
         queued_s = sum(s.queued_s for s in pool.shares.values())
-        speeds = pool.speeds
         held = pool.running + pool.credits
         slots = max(held, pool.slots / self._entries, 1.0)
         return Load(
             slots=min(slots, max(pool.slots, 1)),
-            run_s=speeds.run_s(team) * speeds.used_slowness(),
+            run_s=pool.speeds.slot_s(team),
             queued=pool.queued,
             queued_s=queued_s,
             team_queued=share.queued,
--- a/packages/briarford/src/briarford/placement/speeds.py
+++ b/packages/briarford/src/briarford/placement/speeds.py
@@ -15,6 +15,7 @@
 SHORTEST_RUN_S = 1e-4
 PRIOR_RUNS = 2
 LOWEST_GAIN = 0.04
+SLOT_GAIN = 0.01
 LARGEST_SURPRISE = 1.0
 REMEMBERED_WORKERS = 10_000
 
@@ -41,10 +42,10 @@
 class SpeedBook:
     """Learns the run times of one service."""
 
-    __slots__ = ("_jobs", "_teams", "_used", "_workers")
+    __slots__ = ("_jobs", "_slot_s", "_teams", "_workers")
 
     def __init__(self) -> None:
-        self._used = Estimate(0.0)
+        self._slot_s: dict[str, float] = {}
         self._workers: dict[str, Estimate] = {}
         self._teams: dict[str, Estimate] = {}
         self._jobs: dict[str, Estimate] = {}
@@ -64,9 +65,13 @@
         known = self._teams.get("")
         return math.exp(known.value) if known else FIRST_RUN_S
 
-    def used_slowness(self) -> float:
-        """Slowness of the workers that tasks ran on of late."""
-        return math.exp(self._used.value)
+    def slot_s(self, team: str) -> float:
+        """Return the mean seconds for which a task keeps its slot.
+
+        Unlike :meth:`run_s` it counts rare long tasks in full, and the
+        workers that tasks ran on of late.
+        """
+        return self._slot_s.get(team) or self._slot_s.get("", FIRST_RUN_S)
 
     def observe(
         self, worker: str, team: str, job_id: str, run_s: float
@@ -78,7 +83,9 @@
         of_job = self._jobs.setdefault(job_id, Estimate(of_team.value, 1))
         of_worker = self._workers.setdefault(worker, Estimate(0.0))
         of_worker.add(sample - of_job.value)
-        self._used.add(of_worker.value)
+        for key in ("", team):
+            mean_s = self._slot_s.get(key, self._slot_s.get("", run_s))
+            self._slot_s[key] = mean_s + SLOT_GAIN * (run_s - mean_s)
         effect = sample - of_worker.value
         for estimate in (usual, of_team, of_job):
             estimate.add(effect)
