--- a/packages/briarford/src/briarford/limits/health.py
+++ b/packages/briarford/src/briarford/limits/health.py
@@ -15,8 +15,9 @@
 
 __all__ = ["HealthGuard", "Verdict"]
 
-PRIOR_RESULTS = 40.0
-PRIOR_FAILURES = 0.8
+FIRST_RESULTS = 40.0
+FIRST_FAILURES = 0.8
+LOWEST_RATE = 0.01
 KEEP_PER_RESULT = 0.99
 LONGEST_ROW = 64
 MS_PER_S = 1000.0
@@ -84,7 +85,7 @@
     def __init__(self, cfg: LimitConfig) -> None:
         self.cfg = cfg
         self._clock = 0
-        self._fleet = Tally()
+        self._fleet = Tally(FIRST_RESULTS, FIRST_FAILURES)
         self._records: dict[str, Record] = {}
         self._throttled: dict[str, None] = {}
 
@@ -149,11 +150,11 @@
 
     def _doubt(self, record: Record) -> float:
         """Return how unlikely the row is at the others' rate, in nats."""
-        others = self._fleet.failures - record.tally.failures
+        failures = self._fleet.failures - record.tally.failures
         results = self._fleet.results - record.tally.results
-        failures = max(0.0, others) + PRIOR_FAILURES
-        rate = failures / (max(0.0, results) + PRIOR_RESULTS)
-        return -math.log(min(1.0, rate)) * len(record.row)
+        rate = failures / results if results > 0.0 else 1.0
+        rate = min(1.0, max(LOWEST_RATE, rate))
+        return -math.log(rate) * len(record.row)
 
     def _throttle(
         self, worker: str, record: Record, fleet: int, now: float
