--- a/packages/briarford/tests/test_placement.py
+++ b/packages/briarford/tests/test_placement.py
@@ -153,6 +153,18 @@
     assert (refused.reason if refused else None) is reason
 
 
+def test_admission_counts_on_slots_that_it_holds() -> None:
+    placer = make_placer(2)
+    placer.set_entries(4)
+    spec = make_spec(tasks=16, deadline=NOW + 1.5)
+    for worker in ("w0", "w1"):
+        placer.add_credits(worker, 8)
+    assert placer.admit(spec, NOW) is None
+    for worker in ("w0", "w1"):
+        placer.return_credits(worker, 8)
+    assert placer.admit(spec, NOW) is not None
+
+
 def test_a_team_keeps_its_part_of_a_full_queue() -> None:
     placer = make_placer(limits=LimitConfig(max_queued=10))
     placer.enqueue(make_tasks("flood", 10, team="b"))
