--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -50,7 +50,7 @@
     strategy: str = "soonest-end"
     zone_penalty_ms: float = 3.0
     leave_slow_slots: bool = True
-    aging_weight: float = 1.0
+    aging_weight: float = 0.03
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
     idle_credits: int = 3
--- a/packages/briarford/src/briarford/placement/strategies.py
+++ b/packages/briarford/src/briarford/placement/strategies.py
@@ -24,7 +24,7 @@
     "strategy",
 ]
 
-WORTH_WAITING_RATIO = 0.9
+WORTH_WAITING_RATIO = 0.5
 
 
 @dataclass(slots=True)
