--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -35,13 +35,27 @@
         this many times its remaining time.
     :param recall_after_ms: how long demand waits before an agent recalls
         idle credits of other entries.
+    :param idle_credits: credits of one worker that an entry without waiting
+        tasks may hold.
+    :param spare_untold: slots that an agent keeps in hand without telling
+        entries of them; a higher number means fewer rejected starts.
+    :param waiting_per_notice: tasks that must wait per worker that is told
+        of them by a message of its own.
+    :param notice_after_ms: waiting tasks that will get a slot of the entry's
+        own in this time are not counted for that.
+    :param notice_again_ms: how long such a worker is not told again.
     :param quotas: by team; a team that is not listed has the default quota.
     """
 
     strategy: str = "soonest-end"
     zone_penalty_ms: float = 3.0
     leave_slow_slots: bool = True
-    aging_weight: float = 1.0
+    aging_weight: float = 0.03
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
+    idle_credits: int = 3
+    spare_untold: int = 1
+    waiting_per_notice: int = 2
+    notice_after_ms: float = 600.0
+    notice_again_ms: float = 250.0
     quotas: dict[str, TeamQuota] = field(default_factory=dict)
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 
+from briarford.placement.config import PlacementConfig
+
 __all__ = ["Grant", "SlotGranter"]
 
-RECALL_AFTER_S = 0.005
+MS_PER_S = 1000.0
+DEMAND_KEPT_S = 0.1
+SAVED_BATCH_LAG = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,8 +36,11 @@
     :param recalled: part of ``granted`` that was asked back.
     :param running: tasks of the entry that run.
     :param demand: tasks that wait at the entry, as it last reported.
+    :param demand_until: Unix seconds after which the report is too old to
+        count; None until the turn that follows the report.
     :param waiting_since: Unix seconds since which its demand is not met.
     :param lag: slots that it should have had in proportion to its demand.
+    :param has_batch: whether a batch goes to it in any case.
     """
 
     attached: bool = True
@@ -41,14 +48,21 @@
     recalled: int = 0
     running: int = 0
     demand: int = 0
+    demand_until: float | None = None
     waiting_since: float | None = None
     lag: float = 0.0
+    has_batch: bool = True
 
     @property
     def unmet(self) -> int:
         """Tasks that wait and have no credit under way."""
         return max(0, self.demand - self.granted + self.recalled)
 
+    @property
+    def rank(self) -> float:
+        """Order among entries with demand; a batch saved counts as lag."""
+        return self.lag + (SAVED_BATCH_LAG if self.has_batch else 0.0)
+
     @property
     def excess(self) -> int:
         """Credits that no waiting task needs and nobody asked back."""
@@ -61,14 +75,13 @@
     At any time ``granted + running + free == slots``, summed over entries;
     ``free`` is below zero only after ``set_slots`` took away slots in use.
 
-    :param recall_after_s: seconds that demand waits before idle credits of
-        other entries are recalled for it.
+    :param cfg: numbers of placement that are in force.
     """
 
-    __slots__ = ("_closed", "_entries", "_recall_after_s", "_slots")
+    __slots__ = ("_cfg", "_closed", "_entries", "_slots")
 
-    def __init__(self, recall_after_s: float = RECALL_AFTER_S) -> None:
-        self._recall_after_s = recall_after_s
+    def __init__(self, cfg: PlacementConfig | None = None) -> None:
+        self._cfg = cfg or PlacementConfig()
         self._slots = 0
         self._closed = False
         self._entries: dict[str, EntryCredits] = {}
@@ -93,11 +106,32 @@
         """Slots that are neither granted nor running."""
         return self._slots - self.granted - self.running
 
+    @property
+    def spare(self) -> int:
+        """Slots in hand to tell entries of, for starts without a credit.
+
+        Some are not told: by the time that a start comes, they may be gone.
+        """
+        return max(0, self._in_hand - self._cfg.spare_untold)
+
+    @property
+    def _in_hand(self) -> int:
+        return 0 if self._closed else max(0, self.free)
+
+    @property
+    def _recall_after_s(self) -> float:
+        return self._cfg.recall_after_ms / MS_PER_S
+
+    def configure(self, cfg: PlacementConfig) -> None:
+        """Take in the numbers of another preset."""
+        self._cfg = cfg
+
     def attach(self, entry: str) -> None:
         """Begin a session with an entry; it starts without credits."""
         state = self._entries.setdefault(entry, EntryCredits())
         _take_back(state)
         state.attached = True
+        state.has_batch = True
 
     def detach(self, entry: str) -> None:
         """End a session: credits come back, running tasks stay counted."""
@@ -117,16 +151,20 @@
         state = self._entries.get(entry)
         if state is not None and state.attached:
             state.demand = demand
+            state.demand_until = None
 
     def started(self, entry: str) -> bool:
-        """Spend a credit of an entry.
+        """Spend a credit of an entry, or a spare slot if it holds none.
 
-        :return: False if it holds none: the start must be rejected.
+        :return: False if there is neither: the start must be rejected.
         """
         state = self._entries.get(entry)
-        if state is None or state.granted == 0:
+        if state is None or not state.attached:
+            return False
+        if state.granted:
+            _spend(state, 1)
+        elif not self._in_hand:
             return False
-        _spend(state, 1)
         state.running += 1
         return True
 
@@ -136,6 +174,7 @@
         if state is None or state.running == 0:
             return
         state.running -= 1
+        state.has_batch = True
         self._forget_if_gone(entry)
 
     def returned(self, entry: str, count: int) -> None:
@@ -152,8 +191,12 @@
 
     def turn(self, now: float) -> list[Grant]:
         """Grant free slots and recall credits that are wanted elsewhere."""
+        for state in self._entries.values():
+            _expire_demand(state, now)
         credits = self._grant_free()
         recalls = self._recall(now)
+        for state in self._entries.values():
+            state.has_batch = False
         names = sorted(credits.keys() | recalls.keys())
         return [Grant(n, credits.get(n, 0), recalls.get(n, 0)) for n in names]
 
@@ -179,6 +222,11 @@
         return credits
 
     def _choose_entry(self) -> str | None:
+        """Choose who gets a free slot; None to keep it in hand.
+
+        Without demand a slot goes only where a batch goes in any case, and
+        only up to an even part of the slots.
+        """
         open_ = {
             n: e
             for n, e in self._entries.items()
@@ -187,7 +235,13 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
-        return min(open_, key=lambda n: (open_[n].granted, n), default=None)
+        part = min(
+            self._cfg.idle_credits, -(-self._slots // max(1, len(open_)))
+        )
+        idle = {
+            n: e for n, e in open_.items() if e.has_batch and e.granted < part
+        }
+        return min(idle, key=lambda n: (idle[n].granted, n), default=None)
 
     def _recall(self, now: float) -> dict[str, int]:
         if self._closed or self.free < 0:
@@ -241,6 +295,13 @@
     state.lag = 0.0
 
 
+def _expire_demand(state: EntryCredits, now: float) -> None:
+    if state.demand_until is None:
+        state.demand_until = now + DEMAND_KEPT_S
+    if now >= state.demand_until:
+        state.demand = 0
+
+
 def _spend(state: EntryCredits, count: int) -> None:
     state.granted -= count
     state.recalled = min(state.recalled, state.granted)
@@ -251,6 +312,6 @@
     total = sum(e.unmet for e in hungry.values())
     for state in hungry.values():
         state.lag += state.unmet / total
-    chosen = max(hungry, key=lambda n: (hungry[n].lag, n))
+    chosen = max(hungry, key=lambda n: (hungry[n].rank, n))
     hungry[chosen].lag -= 1.0
     return chosen
--- a/packages/briarford/src/briarford/placement/groups.py
+++ b/packages/briarford/src/briarford/placement/groups.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+from collections.abc import Iterable
 from functools import lru_cache
 
 from briarford.placement.state import WorkerShape, WorkerState
@@ -72,8 +73,11 @@
         self.refresh(worker)
 
     def count_start(self, worker: WorkerState) -> None:
-        """Spend a credit, if there is one, and count a task as running."""
-        worker.credits = max(0, worker.credits - 1)
+        """Spend a credit or a spare slot, and count a task as running."""
+        if worker.credits:
+            worker.credits -= 1
+        else:
+            worker.spare = max(0, worker.spare - 1)
         worker.running += 1
         if worker.allowance is not None:
             worker.allowance -= 1
@@ -111,6 +115,10 @@
                 self.refresh(worker)
         return None
 
+    def members(self) -> Iterable[WorkerState]:
+        """Return all workers."""
+        return self._workers.values()
+
     def all_ready(self) -> list[WorkerState]:
         """Return all workers that are ready."""
         return [w for w in self._workers.values() if w.ready]
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
@@ -174,6 +175,15 @@
         pool.credits += count
         pool.groups[worker.shape].refresh(worker)
 
+    def set_spare(self, name: str, count: int) -> None:
+        """Take in how many slots a worker keeps in hand for any entry."""
+        worker = self._workers.get(name)
+        if worker is None:
+            return
+        worker.spare = count
+        pool = self._pools[worker.service]
+        pool.groups[worker.shape].refresh(worker)
+
     def return_credits(self, name: str, count: int) -> int:
         """Give up to ``count`` unspent credits back; return how many."""
         worker = self._workers.get(name)
@@ -213,18 +223,22 @@
         return pool.queued if pool else 0
 
     def demand_of(self, name: str) -> int:
-        """Count tasks that wait for a slot of this worker.
+        """Return a worker's part of the tasks that wait for a slot.
 
-        None does where the worker is leaving or throttled.
+        It is none where the worker is leaving or throttled.
         """
         worker = self._workers.get(name)
         if worker is None or worker.leaving or worker.allowance is not None:
             return 0
         pool = self._pools[worker.service]
         group = pool.groups[worker.shape]
-        return sum(
-            c.queue.size for c in pool.classes.values() if group in c.groups
+        waiting = sum(
+            c.queue.size / sum(len(g) for g in c.groups)
+            for c in pool.classes.values()
+            if group in c.groups
         )
+        served = self._served_soon(pool) / pool.worker_count
+        return max(0, math.ceil(waiting - served))
 
     def team_demand(self) -> dict[str, int]:
         """Count running and waiting tasks by team, to report to entries."""
@@ -266,6 +280,8 @@
         pool.end(job_id, task.team, state)
         if state is None:
             return
+        if status is TaskStatus.NOT_STARTED:
+            state.spare = 0
         self._judge(pool, state, job_id, status, now)
         if status is TaskStatus.DONE:
             self._update_cost(pool, state)
@@ -280,8 +296,47 @@
         return placed
 
     def announce(self, now: float) -> list[str]:
-        """Return the workers to tell of waiting tasks now."""
-        return []
+        """Return the workers to tell of waiting tasks now.
+
+        Call it after :meth:`place`, and send each of them a batch. Workers
+        that get a start in this turn are told by that batch.
+        """
+        names: list[str] = []
+        for pool in self._pools.values():
+            if pool.queued and self._strategy.uses_credits:
+                names += self._tell(pool, now)
+        return names
+
+    def _served_soon(self, pool: ServicePool) -> float:
+        """Expect how many waiting tasks get an own slot without notice."""
+        ends_per_s = pool.running / pool.speeds.slot_s("")
+        return ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+
+    def _tell(self, pool: ServicePool, now: float) -> list[str]:
+        ends_per_s = pool.running / pool.speeds.slot_s("")
+        soon = ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+        wanted = math.ceil((pool.queued - soon) / self._cfg.waiting_per_notice)
+        if wanted <= 0:
+            return []
+        again_s = self._cfg.notice_again_ms / MS_PER_S
+        told = sum(
+            w.told_at + again_s > now
+            for g in pool.groups.values()
+            for w in g.members()
+        )
+        if told >= min(wanted, pool.worker_count):
+            return []
+        untold = [
+            w
+            for g in pool.groups.values()
+            for w in g.members()
+            if w.open and w.told_at + again_s <= now
+        ]
+        untold.sort(key=lambda w: (w.running + w.credits, w.cost_class))
+        chosen = untold[: wanted - told]
+        for worker in chosen:
+            worker.told_at = now
+        return [w.name for w in chosen]
 
     def take_verdicts(self) -> list[Verdict]:
         """Return the changes of workers' standing since the last call."""
@@ -323,8 +378,8 @@
             return False
         worker = self._choose(pool, class_, job, len(job.tasks))
         if worker is None:
-            return self._place_late(pool, class_, placed)
-        self._start(pool, class_, job, worker, placed)
+            return self._place_late(pool, class_, now, placed)
+        self._start(pool, class_, job, worker, now, placed)
         return True
 
     def _has_room(self, class_: FitClass) -> bool:
@@ -336,6 +391,7 @@
         self,
         pool: ServicePool,
         class_: FitClass,
+        now: float,
         placed: list[Placed],
     ) -> bool:
         """Offer a slot that the first job leaves empty to a late one."""
@@ -345,7 +401,7 @@
         worker = self._choose(pool, class_, job, class_.queue.size)
         if worker is None:
             return False
-        self._start(pool, class_, job, worker, placed)
+        self._start(pool, class_, job, worker, now, placed)
         return True
 
     def _choose(
@@ -366,6 +422,7 @@
         class_: FitClass,
         job: JobEntry,
         worker: WorkerState,
+        now: float,
         placed: list[Placed],
     ) -> None:
         task = class_.queue.take(job)
@@ -373,6 +430,7 @@
         run_s = pool.speeds.run_s(share.team, job.job_id)
         share.used += run_s / share.weight
         pool.start(job, worker)
+        worker.told_at = now
         if not job.tasks:
             pool.forget_entry(job)
         placed.append(Placed(task, worker.name, self._strategy_name))
@@ -404,8 +462,7 @@
             deadline=task.deadline,
             queued_at=task.queued_at,
             tasks=deque(),
-            run_s=pool.speeds.run_s(task.team, task.ref.job_id)
-            * pool.speeds.used_slowness(),
+            run_s=pool.speeds.slot_s(task.team),
         )
 
     def _rank(self, pool: ServicePool, job: JobEntry) -> None:
@@ -423,12 +480,11 @@
             if s.queued or s.team == team
         )
         queued_s = sum(s.queued_s for s in pool.shares.values())
-        speeds = pool.speeds
         held = pool.running + pool.credits
         slots = max(held, pool.slots / self._entries, 1.0)
         return Load(
             slots=min(slots, max(pool.slots, 1)),
-            run_s=speeds.run_s(team) * speeds.used_slowness(),
+            run_s=pool.speeds.slot_s(team),
             queued=pool.queued,
             queued_s=queued_s,
             team_queued=share.queued,
--- a/packages/briarford/src/briarford/placement/state.py
+++ b/packages/briarford/src/briarford/placement/state.py
@@ -42,12 +42,15 @@
     :param shape: what it could hold.
     :param slots: tasks that it runs at the same time, for all entries.
     :param credits: unspent slots granted to this entry.
+    :param spare: slots that the worker kept in hand when it last said so; a
+        start on one of them may be rejected.
     :param running: tasks that this entry has started there.
     :param leaving: whether it takes no new work.
     :param allowance: starts that a guard still allows; None for no limit.
     :param cost_class: logarithmic class of the time of a usual task there.
     :param ready_as: the cost class under which it is listed as ready; None
         if it is not listed.
+    :param told_at: Unix seconds at which it was last told of waiting tasks.
     """
 
     name: str
@@ -56,16 +59,18 @@
     shape: WorkerShape
     slots: int
     credits: int = 0
+    spare: int = 0
     running: int = 0
     leaving: bool = False
     allowance: int | None = None
     cost_class: int = 0
     ready_as: int | None = None
+    told_at: float = 0.0
 
     @property
     def ready(self) -> bool:
-        """Whether a task can be started there now, on a credit."""
-        if self.leaving or self.credits <= 0:
+        """Whether a task can be started there now."""
+        if self.leaving or self.credits + self.spare <= 0:
             return False
         return self.allowance is None or self.allowance > 0
 
