Shorten the lease on the view to 4 s

Cause: a planned stop waits until the gate of the new epoch has passed; with a lease of 5 s that took up to 10 s, as long as an entry allows. Change: a lease of 4 s; confirmations come each second, so the store may take 3 s to answer before ids of the present are uncertain, and peers confirm besides. Checked: the fault table and the machine as before (the planted gate, lease and clock faults are found).

--- a/packages/briarford/src/briarford/homes/lease.py
+++ b/packages/briarford/src/briarford/homes/lease.py
@@ -8,7 +8,7 @@
 
 __all__ = ["ViewLease"]
 
-VIEW_LEASE_S = 5.0
+VIEW_LEASE_S = 4.0
 CLOCK_SKEW_S = 1.0
 STORE_ABSENCE_S = 3600.0
 
--- a/packages/briarford/tests/test_homes_faults.py
+++ b/packages/briarford/tests/test_homes_faults.py
@@ -453,7 +453,7 @@
 
 
 def split_entry_just_now(cluster):
-    return split_entry(cluster, seconds=6)
+    return split_entry(cluster, seconds=int(VIEW_LEASE_S + CLOCK_SKEW_S))
 
 
 def write_lands_late(cluster):
--- a/packages/briarford/tests/test_view.py
+++ b/packages/briarford/tests/test_view.py
@@ -296,12 +296,12 @@
         pytest.param(make_record(E1), -5, ServeHere, id="ahead-but-certain"),
         pytest.param(
             make_record(E1),
-            -6.5,
+            -5.5,
             FailureReason.HOME_UNREACHABLE,
             id="not-certain",
         ),
         pytest.param(
-            make_record(E2), -6.5, ForwardTo(E2), id="presumed-owner-knows"
+            make_record(E2), -5.5, ForwardTo(E2), id="presumed-owner-knows"
         ),
         pytest.param(
             make_record(E1), -9, RefusalReason.ID_INVALID, id="from-the-future"
