Bound what an entry keeps of other entries

Cause: links, peer states, sightings and inherited answers of entries that are long gone stayed for the life of the process; an heir could be handed more answers than it has memory for. Change: they go with the addresses, the id window or a budget of bytes; an answer beyond the budget reads as dropped, never as not run. The random machine also shows that refusing new ids while unconfirmed would be false.

--- a/packages/briarford-daemon/src/briarford_daemon/peers.py
+++ b/packages/briarford-daemon/src/briarford_daemon/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any, Protocol, TypeVar
 
 import msgspec
@@ -335,6 +335,13 @@
             )
         return self._links[address]
 
+    def keep(self, addresses: Collection[str]) -> None:
+        """Close the links to other addresses, and drop what is too old."""
+        self._exchanger.keep(addresses)
+        self._inheritance.forget(self._clock.now())
+        for address in self._links.keys() - set(addresses):
+            self._links.pop(address).close()
+
     def close(self) -> None:
         """Close all links."""
         for link in self._links.values():
--- a/packages/briarford-daemon/src/briarford_daemon/registration.py
+++ b/packages/briarford-daemon/src/briarford_daemon/registration.py
@@ -307,6 +307,7 @@
     async def _keep_in_touch(self) -> None:
         while True:
             addresses = self._addresses()
+            self._peers.keep(self._former_addresses() | set(addresses))
             if self._is_confirmed():
                 # One peer a turn is enough to pass on newer records.
                 addresses = addresses[:1]
@@ -326,6 +327,12 @@
         confirmed_at = self._holder.lease.store_confirmed_at
         return self._clock.now() - confirmed_at < REGISTRATION_TTL_S / 2
 
+    def _former_addresses(self) -> set[str]:
+        record = self._holder.record
+        if record is None:
+            return set()
+        return {m.address for e in record.epochs for m in e.members}
+
     def _addresses(self) -> list[str]:
         record = self._holder.record
         members = {e.member for e in self._entries}
--- a/packages/briarford-daemon/tests/test_peers.py
+++ b/packages/briarford-daemon/tests/test_peers.py
@@ -296,3 +296,15 @@
     inheritance.forget(now)
     assert isinstance(inheritance.answer("e1", "i", "other"), expected)
     assert isinstance(inheritance.answer("e1", "x", "other"), Failed)
+
+
+def test_inherited_answers_stay_within_a_budget():
+    (batch,) = batches("e1", "i", [make_handed(n) for n in range(5)])
+    inheritance = Inheritance("e2", 3 * 90_000)
+    assert inheritance.take(batch).complete
+    kinds = [type(inheritance.answer("e1", "i", f"j{n}")) for n in range(5)]
+    assert kinds == [Completed] * 3 + [Failed] * 2
+    inheritance.forget(9.0)
+    (again,) = batches("e3", "i", [make_handed(n) for n in range(3)])
+    inheritance.take(again)
+    assert isinstance(inheritance.answer("e3", "i", "j2"), Completed)
--- a/packages/briarford/src/briarford/homes/exchange.py
+++ b/packages/briarford/src/briarford/homes/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from briarford.homes.holder import ViewHolder
 from briarford.homes.messages import (
@@ -58,9 +58,10 @@
         self._preset = encoded
         return True
 
-    def peers(self, since: float) -> tuple[PeerState, ...]:
-        """Return the peers heard since a time by their own clock."""
-        return tuple(p for p in self._peers.values() if p.sent_at >= since)
+    def keep(self, addresses: Collection[str]) -> None:
+        """Forget what peers at other addresses held."""
+        for address in self._peers.keys() - set(addresses):
+            del self._peers[address]
 
     def ask(self, address: str, now: float) -> ExchangeRequest:
         """Make the request to a peer."""
--- a/packages/briarford/src/briarford/homes/handover.py
+++ b/packages/briarford/src/briarford/homes/handover.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Iterable, Iterator
 
+import msgspec
+
 from briarford.homes.messages import (
     HandedJob,
     HandOverBatch,
     HandOverReply,
+    WireCompleted,
     from_wire,
+    to_wire,
 )
 from briarford.homes.view import Member
 from briarford.messages import encode
@@ -24,6 +28,7 @@
 __all__ = ["Inheritance", "batches", "choose_heir"]
 
 BATCH_BYTES = 500_000
+INHERITED_ANSWER_BYTES = 32_000_000
 
 
 def choose_heir(
@@ -67,12 +72,18 @@
     that a complete inheritance lacks did not run.
 
     :param me: the name of this entry.
+    :param budget_bytes: memory for answers; what comes beyond it is kept
+        without its answer.
     """
 
-    __slots__ = ("_jobs", "_me", "_totals")
+    __slots__ = ("_budget", "_held_bytes", "_jobs", "_me", "_totals")
 
-    def __init__(self, me: str) -> None:
+    def __init__(
+        self, me: str, budget_bytes: int = INHERITED_ANSWER_BYTES
+    ) -> None:
         self._me = me
+        self._budget = budget_bytes
+        self._held_bytes = 0
         self._jobs: dict[tuple[str, str], dict[str, HandedJob]] = {}
         self._totals: dict[tuple[str, str], int] = {}
 
@@ -80,7 +91,9 @@
         """Take some jobs; a repeated batch does no harm."""
         process = (batch.home, batch.incarnation)
         jobs = self._jobs.setdefault(process, {})
-        jobs.update((job.job_id, job) for job in batch.jobs)
+        for job in batch.jobs:
+            if job.job_id not in jobs:
+                jobs[job.job_id] = self._within_budget(job)
         self._totals[process] = batch.total
         return HandOverReply(len(jobs), len(jobs) == batch.total)
 
@@ -114,17 +127,29 @@
 
         The count of all jobs stays, so what is left proves nothing.
         """
-        for process, jobs in self._jobs.items():
-            self._jobs[process] = {
-                job_id: job
-                for job_id, job in jobs.items()
-                if job.forget_at > now
-            }
+        for jobs in self._jobs.values():
+            for job in tuple(jobs.values()):
+                if job.forget_at <= now:
+                    del jobs[job.job_id]
+                    self._held_bytes -= _answer_bytes(job)
 
     def handed(self) -> dict[tuple[str, str], tuple[HandedJob, ...]]:
         """Return all that is held, for the next heir."""
         return {p: tuple(jobs.values()) for p, jobs in self._jobs.items()}
 
+    def _within_budget(self, job: HandedJob) -> HandedJob:
+        size = _answer_bytes(job)
+        if self._held_bytes + size <= self._budget:
+            self._held_bytes += size
+            return job
+        dropped = Failed(
+            FailureReason.ANSWER_DROPPED,
+            "the job completed, but its answer is no longer kept",
+            Step.ANSWER_READ,
+            self._me,
+        )
+        return msgspec.structs.replace(job, outcome=to_wire(dropped))
+
     def _unknown(self, process: tuple[str, str]) -> Outcome:
         held = len(self._jobs.get(process, {}))
         if self._totals.get(process) == held:
@@ -140,3 +165,9 @@
             Step.FORWARD,
             process[0],
         )
+
+
+def _answer_bytes(job: HandedJob) -> int:
+    if not isinstance(job.outcome, WireCompleted):
+        return 0
+    return sum(map(len, job.outcome.results))
--- a/packages/briarford/src/briarford/homes/holder.py
+++ b/packages/briarford/src/briarford/homes/holder.py
@@ -12,6 +12,7 @@
     ViewLease,
 )
 from briarford.homes.view import (
+    EPOCHS_KEPT_S,
     Departed,
     Epoch,
     Member,
@@ -124,6 +125,7 @@
         """
         for entry in entries:
             self._seen(entry.member, now)
+        self._forget_unseen(now)
         record = self._record
         staying = tuple(e.member for e in entries if not e.leaving)
         if record is None:
@@ -236,6 +238,14 @@
         process = (member.name, member.incarnation)
         self._seen_at[process] = max(now, self._seen_at.get(process, now))
 
+    def _forget_unseen(self, now: float) -> None:
+        oldest = now - 2 * EPOCHS_KEPT_S
+        self._seen_at = {
+            process: seen_at
+            for process, seen_at in self._seen_at.items()
+            if seen_at >= oldest
+        }
+
     def _is_absent(self, member: Member, now: float) -> bool:
         process = (member.name, member.incarnation)
         seen_at = self._seen_at.setdefault(process, now)
--- a/packages/briarford/src/briarford/homes/messages.py
+++ b/packages/briarford/src/briarford/homes/messages.py
@@ -27,6 +27,7 @@
     "HandOverReply",
     "HandedJob",
     "PeerState",
+    "WireCompleted",
     "WireOutcome",
     "from_wire",
     "to_wire",
--- a/packages/briarford/tests/test_homes_faults.py
+++ b/packages/briarford/tests/test_homes_faults.py
@@ -30,7 +30,7 @@
     ViewLease,
 )
 from briarford.membership.messages import EntryRecord
-from briarford.outcomes import Refused
+from briarford.outcomes import RefusalReason, Refused, Step
 
 START = 1_800_000_000.0
 NAMES = ("e1", "e2", "e3")
@@ -384,6 +384,15 @@
         run_machine(fault, 400, (Phase.generate,))
 
 
+def test_machine_finds_a_refusal_without_proof(monkeypatch):
+    def refuse(router, record, client_id, now):
+        return Refused(RefusalReason.VIEW_UNCONFIRMED, "", Step.SUBMIT, "")
+
+    monkeypatch.setattr(Router, "_route_uncertain", refuse)
+    with pytest.raises(AssertionError, match="refused, but it had run"):
+        run_machine(ViewHolder, 400, (Phase.generate,))
+
+
 # What each way to choose homes does under each fault. The scenario brings the
 # fault about; then one batch of new ids is submitted at every entry.
 
