Let the home judge a minted id, whatever the clock of the entry asked

Cause: an entry whose clock is minutes ahead answered 'record dropped' for minted ids of a home that it could have asked. Change: an id is called too old only if its home cannot be found.

--- a/packages/briarford/src/briarford/homes/routing.py
+++ b/packages/briarford/src/briarford/homes/routing.py
@@ -110,9 +110,12 @@
             return verdict
         if self.me.is_process(verdict.entry, verdict.incarnation):
             return ServeHere(verdict.remember_until)
+        route = self._reach(minted.entry, minted.incarnation, now)
+        if isinstance(route, ForwardTo | ServeAsHeir):
+            return route
         if now >= verdict.remember_until + 2 * CLOCK_SKEW_S:
             return self._too_old()
-        return self._reach(minted.entry, minted.incarnation, now)
+        return route
 
     def _route_client(self, client_id: ClientId, now: float) -> Route:
         created_at = client_id.created_at
--- a/packages/briarford/tests/test_view.py
+++ b/packages/briarford/tests/test_view.py
@@ -366,40 +366,57 @@
         assert route == expected
 
 
+OLD = FIRST_SUBMIT_WINDOW_S + RECORD_GRACE_S + 2 * CLOCK_SKEW_S
+
+
 @pytest.mark.parametrize(
-    ("minter", "record", "peers", "expected"),
+    ("minter", "record", "peers", "age", "expected"),
     [
-        pytest.param(("e1", "i1"), None, (), ServeHere, id="own-no-view"),
+        pytest.param(("e1", "i1"), None, (), 0, ServeHere, id="own-no-view"),
+        pytest.param(
+            ("e2", "i2"), make_record(E2), (), 0, ForwardTo(E2), id="in-view"
+        ),
         pytest.param(
-            ("e2", "i2"), make_record(E2), (), ForwardTo(E2), id="in-view"
+            ("e2", "i2"), None, (E2,), 0, ForwardTo(E2), id="registered"
         ),
         pytest.param(
-            ("e2", "i2"), None, (E2,), ForwardTo(E2), id="registered"
+            ("e2", "i2"), None, (E2,), OLD, ForwardTo(E2), id="home-decides"
         ),
         pytest.param(
             ("e2", "old"),
             make_record(E2),
             (E2,),
+            0,
             FailureReason.HOME_UNREACHABLE,
             id="unknown-incarnation",
         ),
+        pytest.param(
+            ("e2", "old"),
+            make_record(E2),
+            (E2,),
+            OLD,
+            FailureReason.ANSWER_DROPPED,
+            id="unknown-incarnation-and-old",
+        ),
         pytest.param(
             ("e2", "i2"),
             make_record(E1, departed=LOST),
             (),
+            0,
             FailureReason.HOME_LOST,
             id="lost",
         ),
     ],
 )
-def test_route_of_a_minted_id(minter, record, peers, expected):
-    job_id = Minter(*minter, b"k").mint(NOW)
+def test_route_of_a_minted_id(minter, record, peers, age, expected):
+    job_id = Minter(*minter, b"k").mint(NOW - age)
     router = Router(make_holder(E1, record), Minter("e1", "i1", b"k"))
     router.set_peers(peers)
     route = router.route(job_id, NOW)
     if isinstance(route, Failed):
         assert route.reason is expected
-        assert (route.retry_at is None) is (expected == "home-lost")
+        final = expected is not FailureReason.HOME_UNREACHABLE
+        assert (route.retry_at is None) is final
         return
     assert route == expected or isinstance(route, expected)
 
