--- a/packages/briarford-bench/src/briarford_bench/commands.py
+++ b/packages/briarford-bench/src/briarford_bench/commands.py
@@ -84,7 +84,7 @@
     :param format: how the figures are printed.
     """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        slopes = runner.run(measure_slopes(names))
+        slopes = runner.run(measure_slopes(names, _say))
     _print({"slopes": slopes})
 
 
--- a/packages/briarford-bench/src/briarford_bench/slopes.py
+++ b/packages/briarford-bench/src/briarford_bench/slopes.py
@@ -181,16 +181,23 @@
     ]
 
 
-async def measure_slopes(names: Sequence[str] = ()) -> list[Slope]:
+async def measure_slopes(
+    names: Sequence[str] = (), say: Callable[[str], None] = lambda line: None
+) -> list[Slope]:
     """Measure slopes, one point after the other.
 
     :param names: which; all if empty.
+    :param say: takes a line of progress after each slope.
     :raises UnknownNameError: if there is no slope of a name.
     """
     for name in names:
         if name not in _slopes:
             raise UnknownNameError("slope", name, list(_slopes))
-    return [await _measure_slope(name) for name in names or _slopes]
+    slopes = []
+    for name in names or _slopes:
+        slopes.append(await _measure_slope(name))
+        say(f"{name}: {len(slopes[-1].points)} points")
+    return slopes
 
 
 async def _measure_slope(name: str) -> Slope:
