--- a/packages/briarford-bench/src/briarford_bench/demo.py
+++ b/packages/briarford-bench/src/briarford_bench/demo.py
@@ -10,9 +10,11 @@
 from typing import Any
 
 from briarford_bench.backend_core import BackendProfile, duplicate_starts
+from briarford_bench.preset_changes import switch_preset
 from briarford_bench.stack import Stack
 from briarford_daemon.client import Answer, Client
 from briarford_daemon.exceptions import EntryUnreachableError
+from briarford_daemon.store_client import HttpStore
 
 __all__ = ["DemoReport", "as_record", "run_demo"]
 
@@ -28,6 +30,7 @@
 SPREAD_S = 12.0
 JOB_WITHIN_S = 30.0
 READY_POLL_S = 0.05
+SWITCH_AT_S = 3.0
 DRAIN_AT_S = 5.0
 STOP_ENTRY_AT_S = 8.0
 RESUBMIT_SHARE = 0.3
@@ -117,6 +120,7 @@
             at = starts_at + run.rng.uniform(0, SPREAD_S)
             run_ms = run.rng.uniform(MIN_RUN_MS, MAX_RUN_MS)
             group.create_task(_run_single(run, at, run_ms))
+        group.create_task(_switch_preset(run, starts_at + SWITCH_AT_S))
         group.create_task(_drain_worker(run, starts_at + DRAIN_AT_S))
         group.create_task(_stop_entry(run, starts_at + STOP_ENTRY_AT_S))
 
@@ -180,6 +184,16 @@
     _count_answer(run, job_id, answer, tasks, time.time() - at)
 
 
+async def _switch_preset(run: _Run, at: float) -> None:
+    await _sleep_until(at)
+    store = HttpStore(run.stack.store.address)
+    try:
+        name = await switch_preset(store)
+    finally:
+        await store.close()
+    run.say(f"switched to preset '{name}'")
+
+
 async def _drain_worker(run: _Run, at: float) -> None:
     await _sleep_until(at)
     run.say("draining worker-6")
--- a/packages/briarford-bench/src/briarford_bench/preset_changes.py
+++ b/packages/briarford-bench/src/briarford_bench/preset_changes.py
@@ -16,7 +16,7 @@
 )
 from briarford_daemon.store_client import HttpStore
 
-__all__ = ["change_presets"]
+__all__ = ["change_presets", "switch_preset"]
 
 CALL_TIMEOUT_S = 2.0
 
@@ -29,21 +29,30 @@
     store = HttpStore(address)
     try:
         while True:
-            await _change(store)
+            await switch_preset(store)
             await asyncio.sleep(1 / changes_per_s)
     finally:
         await store.close()
 
 
-async def _change(store: HttpStore) -> None:
-    found = await store.get(PRESET_KEY, time.time() + CALL_TIMEOUT_S)
-    record = decode_record(found.value) if found else make_default_record()
-    await store.swap(
-        PRESET_KEY,
-        encode_record(_switch(record)),
-        found.version if found else 0,
-        time.time() + CALL_TIMEOUT_S,
-    )
+async def switch_preset(store: HttpStore) -> str:
+    """Put the next preset in force, after others' changes; return its name.
+
+    :raises StoreError: if the store gives no answer.
+    """
+    while True:
+        deadline = time.time() + CALL_TIMEOUT_S
+        found = await store.get(PRESET_KEY, deadline)
+        record = decode_record(found.value) if found else make_default_record()
+        changed = _switch(record)
+        conflict = await store.swap(
+            PRESET_KEY,
+            encode_record(changed),
+            found.version if found else 0,
+            deadline,
+        )
+        if conflict is None:
+            return changed.active
 
 
 def _switch(record: Record) -> Record:
