--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -256,8 +256,10 @@
 def _agent_batch_kind(batch: AgentBatch) -> str:
     if batch.results or batch.hello or batch.worker or batch.reports:
         return ""
-    if batch.credits or batch.recall:
+    if batch.credits:
         return "credits-only"
+    if batch.recall:
+        return "recalls-only"
     return "agent-heartbeat"
 
 
@@ -267,7 +269,7 @@
     if batch.cancels:
         return "cancels-only"
     if batch.returned:
-        return "credits-only"
+        return "returns-only"
     if batch.acks:
         return "acks-only"
     if batch.demand:
--- a/packages/briarford-bench/tests/test_systems.py
+++ b/packages/briarford-bench/tests/test_systems.py
@@ -39,7 +39,7 @@
     [
         (AgentBatch(1), "agent-heartbeat"),
         (AgentBatch(1, credits=1), "credits-only"),
-        (AgentBatch(1, recall=1), "credits-only"),
+        (AgentBatch(1, recall=1), "recalls-only"),
         (AgentBatch(1, Hello("a", "i", 1, "z")), ""),
         (
             AgentBatch(1, results=(TaskResult(REF, TaskStatus.DONE),)),
@@ -48,7 +48,7 @@
         (EntryBatch(1), "entry-heartbeat"),
         (EntryBatch(1, demand=1), "demand-only"),
         (EntryBatch(1, acks=(REF,), demand=1), "acks-only"),
-        (EntryBatch(1, returned=1), "credits-only"),
+        (EntryBatch(1, returned=1), "returns-only"),
         (EntryBatch(1, cancels=(REF,), acks=(REF,)), "cancels-only"),
         (EntryBatch(1, Welcome("e", "i")), ""),
         (EntryBatch(1, starts=(StartTask(REF, 1.0, b""),), demand=1), ""),
