Test random interleavings, hostile peers and unreadable requests

With denials that ignore the record of starts planted in the agent, the state machine fails. Found: a Content-Length of over 4,300 digits raised a ValueError; its first 18 digits suffice to refuse it.

--- a/packages/briarford-daemon/src/briarford_daemon/requests.py
+++ b/packages/briarford-daemon/src/briarford_daemon/requests.py
@@ -22,6 +22,7 @@
 ]
 
 MAX_BODY_BYTES = 16_000_000
+MAX_LENGTH_DIGITS = 18
 MAX_TASKS = 2000
 MAX_TIMEOUT_S = 3600.0
 DEFAULT_TIMEOUT_S = 60.0
@@ -73,7 +74,7 @@
     """
     length = req.headers.get_first(b"content-length")
     if length is not None and length.isdigit():
-        _check_size(int(length))
+        _check_size(int(length[:MAX_LENGTH_DIGITS]))
     data = bytearray()
     async for chunk in req.stream():  # type: ignore[attr-defined]
         data += chunk
--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -101,8 +102,8 @@
 class _Link:
     """All that an agent has with one entry, across sessions.
 
-    :param clock_ahead_s: seconds by which this clock is ahead of the
-        entry's, at most; the way of the welcome is in it.
+    :param clock_lead_s: seconds by which this clock is ahead of the
+        entry's, with the shortest way that a welcome took.
     :param left_in: number of the first batch of this session that said that
         no work is taken; 0 if there is none.
     :param heard: number of the last batch that the entry has taken in.
@@ -116,7 +117,7 @@
     failures: int = 0
     incarnation: str = ""
     lost_at: float = 0.0
-    clock_ahead_s: float = 0.0
+    clock_lead_s: float = math.inf
     left_in: int = 0
     heard: int = 0
     sequence: Sequence = field(default_factory=Sequence)
@@ -330,8 +331,11 @@
         if link.incarnation != welcome.incarnation:
             link.running.clear()
             link.results.clear()
+            link.clock_lead_s = math.inf
+        # A late welcome makes the own clock look ahead by its delay.
+        lead_s = now - welcome.sent_at if welcome.sent_at else 0.0
+        link.clock_lead_s = min(link.clock_lead_s, lead_s)
         link.incarnation = welcome.incarnation
-        link.clock_ahead_s = now - welcome.sent_at if welcome.sent_at else 0.0
         link.welcomed = True
         link.failures = 0
         self._granter.attach(link.entry.address)
@@ -366,7 +370,7 @@
             detail = "the attempt was started before"
             self._report(link, TaskResult(ref, TaskStatus.LOST, detail=detail))
             return
-        deadline = start.deadline + link.clock_ahead_s
+        deadline = start.deadline + link.clock_lead_s
         refusal = self._refusal(deadline, now)
         if refusal:
             self._granter.returned(link.entry.address, 1)
--- /dev/null
+++ b/packages/briarford/tests/dispatch/test_interleavings.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from briarford.outcomes import Completed, Step
+
+from . import checks
+from .faults import FAULTS
+from .matrix import SETTLE_S, build
+from .processes import Client, run_task
+from .world import Site
+
+LIVE_CHECKS = (
+    checks.starts_at_most_once,
+    checks.answers_are_whole_and_own,
+    checks.refusals_are_true,
+    checks.denials_are_true,
+    checks.nothing_new_after_leaving,
+)
+LASTING = ("all-backends-gone", "all-agents-gone", "client-crash")
+
+
+class Interleavings(RuleBasedStateMachine):
+    """Jobs, time and faults in any order, on two entries, three agents."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cast = build(seed=5)
+        self.cast.clients.clear()
+        self.cast.world.run_until(self.cast.world.now + 0.2)
+
+    @rule(entry=st.integers(0, 1), tasks=st.integers(1, 8), idem=st.booleans())
+    def submit(self, entry: int, tasks: int, idem: bool) -> None:
+        name = f"client-{len(self.cast.clients)}"
+        home = self.cast.entries[entry]
+        idempotent = idem and tasks == 1
+        client = Client(self.cast.world, name, home, tasks, idempotent)
+        self.cast.clients.append(client)
+        client.begin()
+
+    @rule(step_s=st.sampled_from([0.0004, 0.003, 0.06, 0.7, 2.0]))
+    def wait(self, step_s: float) -> None:
+        self.cast.world.run_until(self.cast.world.now + step_s)
+
+    @rule(
+        name=st.sampled_from(sorted(set(FAULTS) - set(LASTING))),
+        entry=st.integers(0, 1),
+        agent=st.integers(0, 2),
+    )
+    def strike(self, name: str, entry: int, agent: int) -> None:
+        if name == "job-cancelled" and not self.cast.clients:
+            return
+        site = Site(
+            Step.RUNNING,
+            entry=self.cast.entries[entry],
+            agent=self.cast.agents[agent],
+        )
+        FAULTS[name](self.cast, site)
+
+    @invariant()
+    def promises_hold(self) -> None:
+        for check in LIVE_CHECKS:
+            assert list(check(self.cast)) == []
+
+    def teardown(self) -> None:
+        world = self.cast.world
+        world.message_faults.clear()
+        ends = [c.deadline for c in self.cast.clients]
+        world.run_until(max([world.now, *ends]) + SETTLE_S + 10.0)
+        assert checks.violations(self.cast) == []
+
+
+TestInterleavings = Interleavings.TestCase
+TestInterleavings.settings = settings(
+    max_examples=25, stateful_step_count=20, deadline=None, derandomize=True
+)
+
+
+def dispatch_naively(payloads: list[bytes]) -> Completed:
+    """Run one task after the other, in one process."""
+    return Completed(tuple(run_task(p) for p in payloads))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_answers_equal_those_of_a_naive_dispatcher(seed):
+    rng = random.Random(seed)
+    cast = build(seed)
+    cast.clients[:] = [
+        Client(cast.world, f"c{i}", cast.entries[i % 2], rng.randint(1, 12))
+        for i in range(20)
+    ]
+    for client in cast.clients:
+        cast.world.call_later(0.2 + rng.random(), client.begin)
+    cast.world.run_until(cast.world.now + 20.0)
+    for client in cast.clients:
+        expected = dispatch_naively(client.payloads)
+        assert [o for _, o in client.answers] == [expected] * 3
+    assert checks.violations(cast) == []
