Tell only the workers that placement names of waiting tasks

An entry looked at each session in each turn; it now marks those that announce() names, and looks again every 50 ms while tasks wait, so that a notice which led to nothing is followed by another. Starts without a credit (set_spare) are not wired: a start that spends a spare slot while a credit is on its way would be booked on that credit at the agent, and the entry would hold one that the agent does not count. It needs the start to say what it spends.

--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -71,6 +71,8 @@
 TASK_RETRY = "task-retry"
 AGENT_LOST = "agent-lost"
 SERVICE_LOST = "service-lost"
+NOTICE = "notice"
+NOTICE_EVERY_S = 0.05
 SILENCE = "silence"
 HEARTBEAT = "heartbeat"
 
@@ -122,7 +124,6 @@
     agent: str = ""
     zone: str = ""
     service: str = ""
-    demand: int = 0
     leaving: bool = False
     preset_version: int = 0
     sequence: Sequence = field(default_factory=Sequence)
@@ -292,7 +293,7 @@
         for placed in self.placer.place(now):
             self._start(placed, now)
         self._log_verdicts()
-        self._announce_demand()
+        self._announce_demand(now)
         for conn in self._dirty:
             self._flush(conn, now)
         self._dirty.clear()
@@ -684,22 +685,23 @@
         session.outbox.urgent = True
         self._dirty[session.conn] = None
 
-    def _announce_demand(self) -> None:
-        """Tell agents when tasks begin to wait for their slots."""
-        for session in self._sessions.values():
-            if not session.service or session.demand:
-                continue
-            if self.placer.demand_of(session.agent):
+    def _announce_demand(self, now: float) -> None:
+        """Tell some agents of tasks that wait for a slot."""
+        for name in self.placer.announce(now):
+            session = self._session_of(self._agents[name])
+            if session is not None:
                 self._mark(session)
+        timer = _Timer(NOTICE, "")
+        if timer not in self._timers and any(self.placer.counts().values()):
+            self._timers.set(timer, now + NOTICE_EVERY_S)
 
     def _flush(self, conn: int, now: float) -> None:
         session = self._sessions.get(conn)
         if session is None or not session.outbox.urgent:
             return
-        session.demand = self.placer.demand_of(session.agent)
         batch = session.outbox.build(
             session.sequence.next(),
-            session.demand,
+            self.placer.demand_of(session.agent),
             self.stopping,
             session.sequence.received,
         )
