Ask for one timer per unmet wait, and recall when it fires

next_turn_at() gave a time in the past while demand stayed unmet, so an agent that heeds it turned over and over. And a turn at exactly that time did not recall, as now - since rounds below the wait.

--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -78,12 +78,13 @@
     :param cfg: numbers of placement that are in force.
     """
 
-    __slots__ = ("_cfg", "_closed", "_entries", "_slots")
+    __slots__ = ("_cfg", "_closed", "_entries", "_slots", "_turned_at")
 
     def __init__(self, cfg: PlacementConfig | None = None) -> None:
         self._cfg = cfg or PlacementConfig()
         self._slots = 0
         self._closed = False
+        self._turned_at = 0.0
         self._entries: dict[str, EntryCredits] = {}
 
     @property
@@ -191,6 +192,7 @@
 
     def turn(self, now: float) -> list[Grant]:
         """Grant free slots and recall credits that are wanted elsewhere."""
+        self._turned_at = now
         for state in self._entries.values():
             _expire_demand(state, now)
         credits = self._grant_free()
@@ -207,7 +209,7 @@
             for e in self._entries.values()
             if e.waiting_since is not None
         ]
-        return min(waits, default=None)
+        return min((w for w in waits if w > self._turned_at), default=None)
 
     def _grant_free(self) -> dict[str, int]:
         credits: dict[str, int] = {}
@@ -263,7 +265,7 @@
                 continue
             if state.waiting_since is None:
                 state.waiting_since = now
-            if now - state.waiting_since >= self._recall_after_s:
+            if now >= state.waiting_since + self._recall_after_s:
                 overdue += state.unmet
         return overdue
 
--- a/packages/briarford/tests/test_grants.py
+++ b/packages/briarford/tests/test_grants.py
@@ -103,3 +103,46 @@
 TestGranter.settings = settings(
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
+
+
+def test_an_unmet_wait_needs_one_timer_only() -> None:
+    granter = SlotGranter()
+    granter.set_slots(1)
+    granter.attach("a")
+    granter.turn(1000.0)
+    granter.started("a")
+    granter.set_demand("a", 5)
+    granter.turn(1000.0)
+    recall_at = granter.next_turn_at()
+    assert recall_at is not None
+    assert recall_at > 1000.0
+    granter.turn(recall_at)
+    assert granter.next_turn_at() is None
+
+
+def test_idle_credits_are_recalled_for_waiting_demand() -> None:
+    granter = SlotGranter()
+    granter.set_slots(2)
+    granter.attach("a")
+    granter.turn(1000.0)
+    granter.attach("b")
+    granter.set_demand("b", 2)
+    assert granter.turn(1000.0) == []
+    recall_at = granter.next_turn_at()
+    assert recall_at is not None
+    (recall,) = granter.turn(recall_at)
+    assert (recall.entry, recall.recall) == ("a", 2)
+    granter.returned("a", 2)
+    (grant,) = granter.turn(recall_at)
+    assert (grant.entry, grant.credits) == ("b", 2)
+
+
+def test_slots_follow_demand_in_proportion() -> None:
+    granter = SlotGranter()
+    for entry in ("a", "b"):
+        granter.attach(entry)
+    granter.set_demand("a", 30)
+    granter.set_demand("b", 10)
+    granter.set_slots(8)
+    grants = {g.entry: g.credits for g in granter.turn(1000.0)}
+    assert grants == {"a": 6, "b": 2}
