--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -78,12 +78,13 @@
     :param cfg: numbers of placement that are in force.
     """
 
-    __slots__ = ("_cfg", "_closed", "_entries", "_slots")
+    __slots__ = ("_cfg", "_closed", "_entries", "_slots", "_turned_at")
 
     def __init__(self, cfg: PlacementConfig | None = None) -> None:
         self._cfg = cfg or PlacementConfig()
         self._slots = 0
         self._closed = False
+        self._turned_at = 0.0
         self._entries: dict[str, EntryCredits] = {}
 
     @property
@@ -112,6 +113,8 @@
 
         Some are not told: by the time that a start comes, they may be gone.
         """
+        if not self._cfg.keep_in_hand:
+            return 0
         return max(0, self._in_hand - self._cfg.spare_untold)
 
     @property
@@ -191,6 +194,7 @@
 
     def turn(self, now: float) -> list[Grant]:
         """Grant free slots and recall credits that are wanted elsewhere."""
+        self._turned_at = now
         for state in self._entries.values():
             _expire_demand(state, now)
         credits = self._grant_free()
@@ -207,7 +211,7 @@
             for e in self._entries.values()
             if e.waiting_since is not None
         ]
-        return min(waits, default=None)
+        return min((w for w in waits if w > self._turned_at), default=None)
 
     def _grant_free(self) -> dict[str, int]:
         credits: dict[str, int] = {}
@@ -224,8 +228,8 @@
     def _choose_entry(self) -> str | None:
         """Choose who gets a free slot; None to keep it in hand.
 
-        Without demand a slot goes only where a batch goes in any case, and
-        only up to an even part of the slots.
+        Without demand a slot goes where a batch goes in any case; if slots
+        are kept in hand, only there and only up to an even part.
         """
         open_ = {
             n: e
@@ -235,13 +239,14 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
-        part = min(
+        if not self._cfg.keep_in_hand:
+XX        part = min(
             self._cfg.idle_credits, -(-self._slots // max(1, len(open_)))
         )
         idle = {
             n: e for n, e in open_.items() if e.has_batch and e.granted < part
         }
-        return min(idle, key=lambda n: (idle[n].granted, n), default=None)
+        return _choose_idle(idle)
 
     def _recall(self, now: float) -> dict[str, int]:
         if self._closed or self.free < 0:
@@ -263,7 +268,7 @@
                 continue
             if state.waiting_since is None:
                 state.waiting_since = now
-            if now - state.waiting_since >= self._recall_after_s:
+            if now >= state.waiting_since + self._recall_after_s:
                 overdue += state.unmet
         return overdue
 
@@ -295,6 +300,15 @@
     state.lag = 0.0
 
 
+def _choose_idle(idle: dict[str, EntryCredits]) -> str | None:
+    """Choose who has a batch coming, then who holds the least."""
+    return min(
+        idle,
+        key=lambda n: (not idle[n].has_batch, idle[n].granted, n),
+        default=None,
+    )
+
+
 def _expire_demand(state: EntryCredits, now: float) -> None:
     if state.demand_until is None:
         state.demand_until = now + DEMAND_KEPT_S
