--- a/packages/briarford-bench/src/briarford_bench/kv_propagation.py
+++ b/packages/briarford-bench/src/briarford_bench/kv_propagation.py
@@ -45,11 +45,13 @@
     :param faults: faults of the stand-in while the changes spread.
     :param clear_after_s: when the faults end, counted from the change; 0 if
         they stay.
+    :param before: whether they begin before the change and not after it.
     """
 
     name: str
     faults: dict[str, Any] = field(default_factory=dict)
     clear_after_s: float = 0.0
+    before: bool = False
 
 
 @dataclass(slots=True)
@@ -72,7 +74,7 @@
 CASES = (
     Case("no fault"),
     Case("watches silent", {"silent_watches": True}),
-    Case("every call 0.5 s slower", {"delay_s": 0.5}),
+    Case("every call 0.5 s slower", {"delay_s": 0.5}, before=True),
     Case("down for 3 s after the change", {"down": True}, 3.0),
     Case("down for 10 s after the change", {"down": True}, 10.0),
     Case("silent for 10 s after the change", {"silent": True}, 10.0),
@@ -111,6 +113,9 @@
     started = time.monotonic()
     stack.store.core.calls.clear()
     for number in range(changes):
+        if case.before:
+            stack.store.set_faults(**case.faults)
+            await asyncio.sleep(SETTLE_S)
         await asyncio.sleep(rng.uniform(0.0, SETTLE_S))
         record = _change(record, number)
         await _write(store, record, key_version + number)
