Grant every slot unless the agent is set to keep some in hand

The fault matrix asks that an agent at rest keeps no slot from the entries (credits_are_conserved), and entries do not use spare slots yet.

--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -493,6 +493,7 @@
     add("--per-notice", type=int, default=default.waiting_per_notice)
     add("--notice-after-ms", type=float, default=default.notice_after_ms)
     add("--notice-again-ms", type=float, default=default.notice_again_ms)
+    add("--keep-in-hand", action="store_true")
     add("--announce-all", action="store_true")
     add("--use-slow-slots", action="store_true")
     add("--admit-all", action="store_true")
@@ -507,6 +508,7 @@
         leave_slow_slots=not args.use_slow_slots,
         aging_weight=args.aging_weight,
         recall_after_ms=args.recall_after_ms,
+        keep_in_hand=args.keep_in_hand,
         idle_credits=args.idle_credits,
         spare_untold=args.spare_untold,
         waiting_per_notice=args.per_notice,
--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -35,7 +35,9 @@
         this many times its remaining time.
     :param recall_after_ms: how long demand waits before an agent recalls
         idle credits of other entries.
-    :param idle_credits: credits of one worker that an entry without waiting
+    :param keep_in_hand: whether an agent keeps slots that no entry asks for,
+        and tells entries of them; else it grants them all.
+    :param idle_credits: with ``keep_in_hand``, credits of one worker that an entry without waiting
         tasks may hold.
     :param spare_untold: slots that an agent keeps in hand without telling
         entries of them; a higher number means fewer rejected starts.
@@ -53,6 +55,7 @@
     aging_weight: float = 0.03
     urgent_margin: float = 2.0
     recall_after_ms: float = 5.0
+    keep_in_hand: bool = False
     idle_credits: int = 3
     spare_untold: int = 1
     waiting_per_notice: int = 2
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -113,6 +113,8 @@
 
         Some are not told: by the time that a start comes, they may be gone.
         """
+        if not self._cfg.keep_in_hand:
+            return 0
         return max(0, self._in_hand - self._cfg.spare_untold)
 
     @property
@@ -226,8 +228,8 @@
     def _choose_entry(self) -> str | None:
         """Choose who gets a free slot; None to keep it in hand.
 
-        Without demand a slot goes only where a batch goes in any case, and
-        only up to an even part of the slots.
+        Without demand a slot goes where a batch goes in any case; if slots
+        are kept in hand, only there and only up to an even part.
         """
         open_ = {
             n: e
@@ -237,13 +239,15 @@
         hungry = {n: e for n, e in open_.items() if e.unmet}
         if hungry:
             return _choose_by_lag(hungry)
+        if not self._cfg.keep_in_hand:
+            return _choose_idle(open_)
         part = min(
             self._cfg.idle_credits, -(-self._slots // max(1, len(open_)))
         )
         idle = {
             n: e for n, e in open_.items() if e.has_batch and e.granted < part
         }
-        return min(idle, key=lambda n: (idle[n].granted, n), default=None)
+        return _choose_idle(idle)
 
     def _recall(self, now: float) -> dict[str, int]:
         if self._closed or self.free < 0:
@@ -297,6 +301,15 @@
     state.lag = 0.0
 
 
+def _choose_idle(idle: dict[str, EntryCredits]) -> str | None:
+    """Choose who has a batch coming, then who holds the least."""
+    return min(
+        idle,
+        key=lambda n: (not idle[n].has_batch, idle[n].granted, n),
+        default=None,
+    )
+
+
 def _expire_demand(state: EntryCredits, now: float) -> None:
     if state.demand_until is None:
         state.demand_until = now + DEMAND_KEPT_S
