Let a report of demand count for a second

An agent forgot demand after 0.1 s, while the entry repeats it with a heartbeat at the latest, so a starved entry could be passed over.

--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -9,7 +9,7 @@
 __all__ = ["Grant", "SlotGranter"]
 
 MS_PER_S = 1000.0
-DEMAND_KEPT_S = 0.1
+DEMAND_KEPT_S = 1.0
 SAVED_BATCH_LAG = 2.0
 
 
