--- a/packages/briarford-bench/src/briarford_bench/stack.py
+++ b/packages/briarford-bench/src/briarford_bench/stack.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass
 
 from briarford_bench.backend_core import BackendProfile
 from briarford_bench.backend_server import BackendServer
+from briarford_bench.daemons import free_address
 from briarford_bench.kv_server import KvServer
 from briarford_daemon.processes import AgentProcess, EntryProcess
 from briarford_daemon.settings import AgentSettings, EntrySettings
@@ -56,7 +56,7 @@
     async def start(self) -> None:
         """Start everything."""
         await self.store.start()
-        addresses = [_free_address() for _ in range(self._entry_count)]
+        addresses = [free_address() for _ in range(self._entry_count)]
         for index in range(self._entry_count):
             await self._start_entry(index, addresses)
         for index, profile in enumerate(self._profiles):
@@ -104,9 +104,3 @@
 
     def _zone(self, index: int) -> str:
         return self._zones[index % len(self._zones)]
-
-
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
