--- a/packages/briarford/src/briarford/placement/config.py
+++ b/packages/briarford/src/briarford/placement/config.py
@@ -37,8 +37,8 @@
         idle credits of other entries.
     :param keep_in_hand: whether an agent keeps slots that no entry asks for,
         and tells entries of them; else it grants them all.
-    :param idle_credits: with ``keep_in_hand``, credits of one worker that an entry without waiting
-        tasks may hold.
+    :param idle_credits: with ``keep_in_hand``, credits of one worker that
+        an entry without waiting tasks may hold.
     :param spare_untold: slots that an agent keeps in hand without telling
         entries of them; a higher number means fewer rejected starts.
     :param waiting_per_notice: tasks that must wait per worker that is told
--- a/packages/briarford/src/briarford/placement/grants.py
+++ b/packages/briarford/src/briarford/placement/grants.py
@@ -9,7 +9,7 @@
 __all__ = ["Grant", "SlotGranter"]
 
 MS_PER_S = 1000.0
-DEMAND_KEPT_S = 0.1
+DEMAND_KEPT_S = 1.0
 SAVED_BATCH_LAG = 2.0
 
 
@@ -240,7 +240,8 @@
         if hungry:
             return _choose_by_lag(hungry)
         if not self._cfg.keep_in_hand:
-XX        part = min(
+            return _choose_idle(open_)
+        part = min(
             self._cfg.idle_credits, -(-self._slots // max(1, len(open_)))
         )
         idle = {
