Check that agents grant their free slots on demand

Cause: agents may keep unasked slots in hand, so the check that they keep none was replaced by one that looks only while tasks wait. Change: besides, a copy of each agent's granter is asked for all its free slots at the end of a case and has to grant them.

--- a/packages/briarford/tests/dispatch/checks.py
+++ b/packages/briarford/tests/dispatch/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -9,7 +10,7 @@
 from briarford.outcomes import Completed, Failed, RefusalReason, Refused
 
 from .faults import Cast
-from .processes import ANNOUNCE_TTL_S, Client, run_task
+from .processes import ANNOUNCE_TTL_S, Agent, Client, run_task
 
 MAX_ATTEMPTS = 3
 LEAVING_S = 3.0
@@ -184,6 +185,19 @@
         )
         if granter.free > 0 and waiting:
             yield f"{agent.name} keeps {granter.free} slots from tasks"
+        kept = granter.free - _granted_on_demand(agent, cast.world.now)
+        if granter.free > 0 and kept:
+            yield f"{agent.name} keeps {kept} free slots from demand"
+
+
+def _granted_on_demand(agent: Agent, now: float) -> int:
+    """Count the free slots that an entry with waiting tasks would get."""
+    granter = copy.deepcopy(agent.core._granter)
+    for address, link in agent.core._links.items():
+        if link.welcomed:
+            granter.set_demand(address, granter.slots + granter.granted)
+            break
+    return sum(grant.credits for grant in granter.turn(now))
 
 
 @check
