--- a/packages/briarford/src/briarford/limits/quotas.py
+++ b/packages/briarford/src/briarford/limits/quotas.py
@@ -37,11 +37,13 @@
 class Part:
     """What an entry may use of one team's quota.
 
-    :param allowed: tasks that it may run at once.
+    :param quota: tasks of the team that may run at once over all entries.
+    :param allowed: tasks of it that may run at once here.
     :param next_allowed: a larger part that is due later.
     :param grows_at: Unix seconds when it is.
     """
 
+    quota: int
     allowed: int
     next_allowed: int = 0
     grows_at: float | None = None
@@ -70,6 +72,8 @@
         The own report is to be the one that the other entries get.
         """
         self._reports[entry] = dict(demands)
+        for team, part in self._parts.items():
+            _limit(part, self._target(team, part.quota))
 
     def forget(self, entry: str) -> None:
         """Drop an entry that is gone for good."""
@@ -78,24 +82,34 @@
 
     def allowed(self, team: str, quota: int, now: float) -> int:
         """Return how many tasks of a team may run at this entry."""
-        demands = {e: r.get(team, 0) for e, r in self._reports.items()}
-        target = divide(quota, demands)[self._entry]
+        target = self._target(team, quota)
         part = self._parts.get(team)
         if part is None:
-            first = quota // len(demands)
-            part = self._parts[team] = Part(min(target, first))
-        self._move(part, target, now)
+            first = quota // len(self._reports)
+            part = self._parts[team] = Part(quota, min(target, first))
+        part.quota = quota
+        _limit(part, target)
+        self._grow(part, target, now)
         return part.allowed
 
-    def _move(self, part: Part, target: int, now: float) -> None:
-        if target <= part.allowed:
-            part.allowed = target
-            part.grows_at = None
+    def _target(self, team: str, quota: int) -> int:
+        demands = {e: r.get(team, 0) for e, r in self._reports.items()}
+        return divide(quota, demands)[self._entry]
+
+    def _grow(self, part: Part, target: int, now: float) -> None:
+        if target == part.allowed:
             return
         if part.grows_at is None:
             part.grows_at = now + self._arrive_s
             part.next_allowed = target
-        part.next_allowed = min(part.next_allowed, target)
         if now >= part.grows_at:
             part.allowed = part.next_allowed
             part.grows_at = None
+
+
+def _limit(part: Part, target: int) -> None:
+    """Keep a part to the least target since its growth began."""
+    part.next_allowed = min(part.next_allowed, target)
+    if target <= part.allowed:
+        part.allowed = target
+        part.grows_at = None
--- a/packages/briarford/tests/test_limits.py
+++ b/packages/briarford/tests/test_limits.py
@@ -173,10 +173,24 @@
 
 TestQuota = QuotaMachine.TestCase
 TestQuota.settings = settings(
-    max_examples=60, stateful_step_count=20, deadline=None, derandomize=True
+    max_examples=300, stateful_step_count=20, deadline=None, derandomize=True
 )
 
 
+def test_growth_waits_from_the_last_dip() -> None:
+    divider = QuotaDivider("e2", 0.5)
+    for entry in ENTRIES:
+        divider.report(entry, {})
+    assert divider.allowed("b", 3, NOW) == 1
+    divider.report("e2", {"b": 3})
+    assert divider.allowed("b", 3, NOW) == 1
+    divider.report("e2", {})
+    divider.report("e2", {"b": 3})
+    assert divider.allowed("b", 3, NOW + 0.25) == 1
+    assert divider.allowed("b", 3, NOW + 0.5) == 1
+    assert divider.allowed("b", 3, NOW + 0.75) == 2
+
+
 def run_results(
     guard: HealthGuard, fleet: int, bad: set[int], poison: float, rounds: int
 ) -> int:
