--- a/packages/briarford/src/briarford/limits/quotas.py
+++ b/packages/briarford/src/briarford/limits/quotas.py
@@ -2,7 +2,8 @@
 
 Each entry works the same division out of the same reports. A part that
 shrinks does so at once; a part that grows does so only when the report
-behind it has had time to reach every entry. So the parts never add up to
+behind it has had time to reach every entry, and an entry's former reports
+count as long as others may go by them. So the parts never add up to
 more than the quota while reports arrive within that time.
 """
 
@@ -49,6 +50,17 @@
     grows_at: float | None = None
 
 
+@dataclass(slots=True)
+class FormerReport:
+    """An own report that another entry may still go by.
+
+    :param until: Unix seconds until which it may; None if not yet known.
+    """
+
+    demands: Mapping[str, int]
+    until: float | None = None
+
+
 class QuotaDivider:
     """One entry's parts of the team quotas.
 
@@ -56,7 +68,7 @@
     :param reports_arrive_s: seconds within which a report reaches all.
     """
 
-    __slots__ = ("_arrive_s", "_entry", "_parts", "_reports")
+    __slots__ = ("_arrive_s", "_entry", "_former", "_parts", "_reports")
 
     def __init__(
         self, entry: str, reports_arrive_s: float = REPORTS_ARRIVE_S
@@ -64,6 +76,7 @@
         self._entry = entry
         self._arrive_s = reports_arrive_s
         self._reports: dict[str, dict[str, int]] = {entry: {}}
+        self._former: list[FormerReport] = []
         self._parts: dict[str, Part] = {}
 
     def report(self, entry: str, demands: Mapping[str, int]) -> None:
@@ -71,6 +84,8 @@
 
         The own report is to be the one that the other entries get.
         """
+        if entry == self._entry:
+            self._former.append(FormerReport(self._reports[entry]))
         self._reports[entry] = dict(demands)
         for team, part in self._parts.items():
             _limit(part, self._target(team, part.quota))
@@ -82,6 +97,7 @@
 
     def allowed(self, team: str, quota: int, now: float) -> int:
         """Return how many tasks of a team may run at this entry."""
+        self._drop_former(now)
         target = self._target(team, quota)
         part = self._parts.get(team)
         if part is None:
@@ -93,8 +109,19 @@
         return part.allowed
 
     def _target(self, team: str, quota: int) -> int:
+        """Return the least part by the reports that others may go by."""
         demands = {e: r.get(team, 0) for e, r in self._reports.items()}
-        return divide(quota, demands)[self._entry]
+        least = divide(quota, demands)[self._entry]
+        for former in self._former:
+            demands[self._entry] = former.demands.get(team, 0)
+            least = min(least, divide(quota, demands)[self._entry])
+        return least
+
+    def _drop_former(self, now: float) -> None:
+        for former in self._former:
+            if former.until is None:
+                former.until = now + self._arrive_s
+        self._former = [f for f in self._former if now < (f.until or now)]
 
     def _grow(self, part: Part, target: int, now: float) -> None:
         if target == part.allowed:
