Withdraw a worker on a refused connection only, not on a busy answer

Change: the end of a call says whether a connection was opened; only a refused connection withdraws the worker. A busy answer goes back to its entry as not started, which queues the task again after a growing pause. Ruled out: guessing from the detail text of the result. The effect on goodput under overload is not measured in this commit.

--- a/packages/briarford-daemon/src/briarford_daemon/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/agent.py
@@ -20,7 +20,6 @@
     BackendAnnounced,
     BackendLeft,
     CallBackend,
-    CallEnded,
     CancelCall,
     Decision,
     DrainChanged,
@@ -215,11 +214,11 @@
     async def _call(self, effect: CallBackend) -> None:
         if self._caller is None:
             raise RuntimeError("a call before any announcement")
-        result = await self._caller.call(
+        ended = await self._caller.call(
             effect.ref, effect.payload, effect.deadline
         )
-        self.metrics.attempts[result.status] += 1
-        self._driver.post(CallEnded(result))
+        self.metrics.attempts[ended.result.status] += 1
+        self._driver.post(ended)
 
     async def _run_session(self, address: str, mine: _EntryStream) -> None:
         host, port = split_address(address)
--- a/packages/briarford-daemon/src/briarford_daemon/backend.py
+++ b/packages/briarford-daemon/src/briarford_daemon/backend.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from briarford.dispatch.messages import CallEnded
 from briarford.jobs import TaskRef
 from briarford.sessions import TaskResult, TaskStatus
 from briarford_daemon.clock import Clock
@@ -42,7 +43,7 @@
 
     async def call(
         self, ref: TaskRef, payload: bytes, deadline: float
-    ) -> TaskResult:
+    ) -> CallEnded:
         """Start one task and wait for its end.
 
         The result says NOT_STARTED only if no connection could be opened or
@@ -53,15 +54,16 @@
             async with asyncio.timeout(deadline - self._clock.now()):
                 result = await self._post(ref, payload, deadline)
         except aiohttp.ClientConnectorError as exc:
-            return TaskResult(ref, TaskStatus.NOT_STARTED, detail=str(exc))
+            result = TaskResult(ref, TaskStatus.NOT_STARTED, detail=str(exc))
+            return CallEnded(result, reached=False)
         except TimeoutError:
             detail = f"{self._address} gave no answer by the deadline"
-            return TaskResult(ref, TaskStatus.LOST, detail=detail)
+            return _lost(ref, detail)
         except aiohttp.ClientError as exc:
             detail = f"{self._address} ended the connection: {exc!r}"
-            return TaskResult(ref, TaskStatus.LOST, detail=detail)
+            return _lost(ref, detail)
         run_ms = (time.perf_counter() - began) * MS_PER_S
-        return msgspec.structs.replace(result, run_ms=run_ms)
+        return CallEnded(msgspec.structs.replace(result, run_ms=run_ms))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -108,3 +110,7 @@
             detail = f"{self._address} answered with no JSON document"
             return TaskResult(ref, TaskStatus.FAILED, detail=detail)
         return TaskResult(ref, TaskStatus.DONE, payload=body)
+
+
+def _lost(ref: TaskRef, detail: str) -> CallEnded:
+    return CallEnded(TaskResult(ref, TaskStatus.LOST, detail=detail))
--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -248,7 +248,7 @@
         if address is None:
             return
         self._granter.ended(address)
-        if message.result.status is TaskStatus.NOT_STARTED:
+        if not message.reached:
             self._wait_for_announcement(now)
         link = self._links.get(address)
         if link is None or ref not in link.running:
@@ -522,7 +522,7 @@
     def _wait_for_announcement(self, now: float) -> None:
         """Take no work until the backend server announces itself again."""
         self._announced_until = now
-        self._leave("the backend server did not take a task")
+        self._leave("the backend server takes no connection")
 
     def _check_stopped(self, now: float) -> None:
         """Stop once no start can arrive and no result is to be delivered."""
--- a/packages/briarford/src/briarford/dispatch/messages.py
+++ b/packages/briarford/src/briarford/dispatch/messages.py
@@ -145,9 +145,13 @@
 
 @dataclass(slots=True, frozen=True)
 class CallEnded:
-    """To an agent: a call to the backend server ended."""
+    """To an agent: a call to the backend server ended.
+
+    :param reached: whether a connection to the backend server was opened.
+    """
 
     result: TaskResult
+    reached: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/briarford/tests/dispatch/processes.py
+++ b/packages/briarford/tests/dispatch/processes.py
@@ -305,7 +305,8 @@
         """Take the end of a call, once."""
         if result.ref in self.calls:
             self.calls.discard(result.ref)
-            self.post(CallEnded(result))
+            refused = result.status is TaskStatus.NOT_STARTED
+            self.post(CallEnded(result, reached=not refused))
 
     def _open(self, effect: OpenSession) -> None:
         address = effect.entry.address
--- a/packages/briarford/tests/dispatch/test_agent_recovery.py
+++ b/packages/briarford/tests/dispatch/test_agent_recovery.py
@@ -87,8 +87,10 @@
     return any(isinstance(e, AgentStopped) for e in effects)
 
 
-def ended(status: TaskStatus = TaskStatus.DONE) -> CallEnded:
-    return CallEnded(TaskResult(REF, status, b"1"))
+def ended(
+    status: TaskStatus = TaskStatus.DONE, reached: bool = True
+) -> CallEnded:
+    return CallEnded(TaskResult(REF, status, b"1"), reached)
 
 
 def test_attempt_whose_result_was_dropped_is_not_denied():
@@ -137,16 +139,25 @@
     assert told(effects) == {REF: TaskStatus.NOT_STARTED}
 
 
-def test_worker_that_did_not_take_a_task_waits_for_an_announcement():
+def test_worker_that_refuses_connections_waits_for_an_announcement():
     agent = Driver()
     agent.welcome()
     agent.start()
-    agent.take(ended(TaskStatus.NOT_STARTED))
+    agent.take(ended(TaskStatus.NOT_STARTED, reached=False))
     assert agent.core.leaving
     agent.take(BackendAnnounced(WORKER, NOW + 100.0))
     assert not agent.core.leaving
 
 
+def test_worker_that_is_busy_for_one_task_goes_on():
+    agent = Driver()
+    agent.welcome()
+    agent.start()
+    effects = agent.take(ended(TaskStatus.NOT_STARTED))
+    assert told(effects) == {REF: TaskStatus.NOT_STARTED}
+    assert not agent.core.leaving
+
+
 def test_stop_waits_until_the_entry_has_heard_of_it():
     agent = Driver()
     agent.welcome()
