--- a/packages/briarford-cli/src/briarford_cli/job_commands.py
+++ b/packages/briarford-cli/src/briarford_cli/job_commands.py
@@ -69,34 +69,58 @@
     return payloads
 
 
-def status(*, entry: list[str], format: Format = Format.TABLE) -> None:
+def status(
+    *,
+    entry: list[str],
+    workers: bool = False,
+    format: Format = Format.TABLE,
+) -> None:
     """Show entries: what each holds, and which preset version it has.
 
     :param entry: HTTP address of an entry; may be given several times.
+    :param workers: show the workers that are attached to each entry instead.
     :param format: table or json.
     """
-    show_table(asyncio.run(_status(entry)), format)
+    answers = asyncio.run(_ask_status(entry))
+    rows = _worker_rows(answers) if workers else _entry_rows(answers)
+    columns = max(rows, key=len, default={})
+    show_table([{c: r.get(c, "") for c in columns} for r in rows], format)
 
 
-async def _status(entries: list[str]) -> list[dict[str, Any]]:
-    rows: list[dict[str, Any]] = []
+async def _ask_status(entries: list[str]) -> dict[str, Answer | None]:
     async with Client(entries) as client:
-        for index, address in enumerate(entries):
-            answer = await client.get("/v1/status", index)
-            if answer is None:
-                rows.append({"entry": address, "state": "unreachable"})
-                continue
-            state = answer.body["state"]
-            rows.append(
-                {
-                    "entry": answer.body["name"],
-                    "state": answer.body["status"],
-                    "preset": state["preset_version"],
-                    "workers": state["workers"],
-                    "queued": state["tasks_queued"],
-                    "outstanding": state["tasks_outstanding"],
-                    "jobs": state["jobs_running"],
-                }
-            )
-    columns = max(rows, key=len, default={})
-    return [{c: row.get(c, "") for c in columns} for row in rows]
+        answers = await asyncio.gather(
+            *(client.get("/v1/status", i) for i in range(len(entries)))
+        )
+    return dict(zip(entries, answers, strict=True))
+
+
+def _entry_rows(answers: dict[str, Answer | None]) -> list[dict[str, Any]]:
+    return [
+        _entry_row(answer)
+        if answer is not None
+        else {"entry": address, "state": "unreachable"}
+        for address, answer in answers.items()
+    ]
+
+
+def _entry_row(answer: Answer) -> dict[str, Any]:
+    state = answer.body["state"]
+    return {
+        "entry": answer.body["name"],
+        "state": answer.body["status"],
+        "preset": int(state["preset_version"]),
+        "workers": int(state["workers"]),
+        "queued": int(state["tasks_queued"]),
+        "outstanding": int(state["tasks_outstanding"]),
+        "jobs": int(state["jobs_running"]),
+    }
+
+
+def _worker_rows(answers: dict[str, Answer | None]) -> list[dict[str, Any]]:
+    return [
+        {"entry": answer.body["name"], **worker}
+        for answer in answers.values()
+        if answer is not None
+        for worker in answer.body["workers"]
+    ]
--- a/packages/briarford-cli/src/briarford_cli/output.py
+++ b/packages/briarford-cli/src/briarford_cli/output.py
@@ -27,7 +27,7 @@
         return
     table = Table()
     for key in rows[0] if rows else ():
-        table.add_column(str(key))
+        table.add_column(str(key), overflow="fold")
     for row in rows:
         table.add_row(*(_plain(v) for v in row.values()))
     Console().print(table)
--- a/packages/briarford-daemon/src/briarford_daemon/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry.py
@@ -32,7 +32,7 @@
 )
 from briarford.outcomes import RefusalReason, Refused, Step
 from briarford.placement import Placer
-from briarford.presets import decode_record
+from briarford.presets import decode_record, to_document
 from briarford.presets.effects import limit_config, placement_config
 from briarford.sessions import EntryAddress
 from briarford_daemon.agent_streams import AgentStreams
@@ -183,9 +183,32 @@
             "incarnation": self.me.incarnation,
             "status": "stopping" if self.leaving else "serving",
             "entries": [m.name for m in self._members],
+            "workers": self._show_workers(),
             "state": self.state(),
         }
 
+    def preset(self) -> dict[str, Any] | None:
+        """Return the record that is in force here; None if there is none."""
+        if self._watcher is None or self._watcher.holder.record is None:
+            return None
+        return to_document(self._watcher.holder.record)
+
+    def _show_workers(self) -> list[dict[str, Any]]:
+        versions = self.core.preset_versions()
+        return [
+            {
+                "worker": w.name,
+                "service": w.service,
+                "zone": w.zone,
+                "slots": w.slots,
+                "credits": w.credits,
+                "running": w.running,
+                "state": "leaving" if w.leaving else "serving",
+                "preset": versions.get(w.name, 0),
+            }
+            for w in self.core.placer.workers.values()
+        ]
+
     async def _serve(self) -> None:
         services: list[Any] = [
             Sessions(self._streams.attach),
--- a/packages/briarford-daemon/src/briarford_daemon/entry_http.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry_http.py
@@ -83,6 +83,12 @@
     async def status(self, req: Request) -> Response:
         return json_response(200, self._entry.status())
 
+    async def preset(self, req: Request) -> Response:
+        record = self._entry.preset()
+        if record is None:
+            raise RequestError("no preset record has been adopted yet", 404)
+        return json_response(200, record)
+
     async def openapi(self, req: Request) -> Response:
         return json_response(200, openapi_document())
 
@@ -114,6 +120,7 @@
             ("DELETE", "/v1/jobs/{id}", routes.cancel),
             ("POST", "/v1/services/{service}/requests", routes.single),
             ("GET", "/v1/status", routes.status),
+            ("GET", "/v1/preset", routes.preset),
             ("GET", "/openapi.json", routes.openapi),
             ("GET", "/healthz", healthz),
             ("GET", "/readyz", routes.readyz),
--- a/packages/briarford-daemon/src/briarford_daemon/openapi.py
+++ b/packages/briarford-daemon/src/briarford_daemon/openapi.py
@@ -59,6 +59,7 @@
             )
         },
         "/v1/status": {"get": _operation("Show the entry.", [], 200)},
+        "/v1/preset": {"get": _operation("Show the preset record.", [], 200)},
         "/healthz": {"get": _operation("The process runs.", [], 200)},
         "/readyz": {"get": _operation("It takes requests.", [], 200)},
         "/metrics": {"get": _operation("Metrics as text.", [], 200)},
--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -311,6 +311,14 @@
         """Whether no job runs here."""
         return self.jobs.running == 0
 
+    def preset_versions(self) -> dict[str, int]:
+        """Return the preset version of each attached agent."""
+        return {
+            s.agent: s.preset_version
+            for s in self._sessions.values()
+            if s.agent
+        }
+
     def outstanding(self) -> int:
         """Count attempts that were sent and have no result yet."""
         return sum(len(a.outstanding) for a in self._agents.values())
--- a/packages/briarford/src/briarford/presets/checks.py
+++ b/packages/briarford/src/briarford/presets/checks.py
@@ -73,22 +73,6 @@
             raise RecordError(path, strategy, allowed) from exc
 
 
-@check
-def check_extra_starts(record: Record) -> None:
-    """Check that retries and hedges together cannot double the load."""
-    for name, preset in record.presets.items():
-        limits = preset.limits
-        total = limits.retry_share + limits.hedge_share
-        if total > 1.0:
-            path = f"presets.{name}.limits.retry_share"
-            raise RecordError(
-                path,
-                limits.retry_share,
-                f"with hedge_share {limits.hedge_share} the sum is "
-                f"{total:g}; at most 1 is allowed",
-            )
-
-
 @check
 def check_history(record: Record) -> None:
     """Check that the history leads to the version, each id once."""
--- a/packages/briarford/src/briarford/presets/defaults.py
+++ b/packages/briarford/src/briarford/presets/defaults.py
@@ -42,14 +42,13 @@
 
 def _make_peak() -> Preset:
     return Preset(
-        summary="Peaks: refuse early, make no second copies.",
+        summary="Peaks: refuse early, retry little.",
         default_quota=Quota(slots=None),
         placement=Placement(strategy=STRATEGY, urgent_margin=3.0),
         limits=Limits(
             queue_bound=5_000,
             admission_factor=3.0,
             retry_share=0.02,
-            hedge_share=0.0,
         ),
     )
 
@@ -59,5 +58,5 @@
         summary="Maintenance: more retries while workers are replaced.",
         default_quota=Quota(slots=None),
         placement=Placement(strategy=STRATEGY, zone_penalty_ms=0.0),
-        limits=Limits(retry_share=0.2, hedge_share=0.0, guard_share=0.1),
+        limits=Limits(retry_share=0.2, guard_share=0.1),
     )
--- a/packages/briarford/src/briarford/presets/effects.py
+++ b/packages/briarford/src/briarford/presets/effects.py
@@ -31,10 +31,7 @@
         admission_margin=limits.admission_factor,
         refuse_unreachable=limits.admission is Admission.DEADLINE,
         retry_share=limits.retry_share,
-        hedge_share=limits.hedge_share,
-        hedge_after_ratio=limits.hedge_after_ratio,
         guard_share=limits.guard_share,
-        concurrency_guard=limits.concurrency_guard,
     )
 
 
--- a/packages/briarford/src/briarford/presets/explain.py
+++ b/packages/briarford/src/briarford/presets/explain.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from briarford.presets.schema import Admission, Limits, Quota, Record
+from briarford.presets.schema import Admission, Quota, Record
 
 __all__ = ["explain", "explainer"]
 
@@ -107,40 +107,24 @@
 
 
 @explainer
-def explain_extra_starts(record: Record) -> list[str]:
-    """Explain retries and hedges."""
-    limits = record.in_force.limits
+def explain_retries(record: Record) -> list[str]:
+    """Explain how often tasks are tried again."""
+    share = record.in_force.limits.retry_share
     return [
-        f"Retries make up at most {limits.retry_share:.0%} of first tries; "
-        f"{_describe_hedges(limits)}"
+        "Only idempotent single requests are tried again after a failure; "
+        f"these retries make up at most {share:.0%} of first tries."
     ]
 
 
-def _describe_hedges(limits: Limits) -> str:
-    if limits.hedge_share == 0:
-        return "no second copies are started."
-    return (
-        "second copies of idempotent requests at most "
-        f"{limits.hedge_share:.0%}, each once a request has run "
-        f"{limits.hedge_after_ratio:g} times its expected time."
-    )
-
-
 @explainer
 def explain_guards(record: Record) -> list[str]:
     """Explain when workers are taken out."""
     limits = record.in_force.limits
-    lines = [
+    return [
         "A worker that fails the tasks of different jobs is held back and "
         f"probed; guards hold back at most {limits.guard_share:.0%} of a "
         "service's workers."
     ]
-    if limits.concurrency_guard:
-        lines.append(
-            "An agent sends fewer tasks at the same time to a backend "
-            "server that slows down under them."
-        )
-    return lines
 
 
 @explainer
--- a/packages/briarford/src/briarford/presets/field_effects.py
+++ b/packages/briarford/src/briarford/presets/field_effects.py
@@ -66,10 +66,7 @@
     _preset("limits.admission", "which jobs are taken in", _KEPT),
     _preset("limits.admission_factor", "margin on the estimate", _KEPT),
     _preset("limits.retry_share", "retries per first try", _EXTRA),
-    _preset("limits.hedge_share", "second copies per first try", _EXTRA),
-    _preset("limits.hedge_after_ratio", "when a copy is made", _EXTRA),
     _preset("limits.guard_share", "workers that guards take out", _GUARD),
-    _preset("limits.concurrency_guard", "guard against overload", _GUARD),
     FieldEffect(
         ("drains", ANY),
         "a worker without new work",
--- a/packages/briarford/src/briarford/presets/schema.py
+++ b/packages/briarford/src/briarford/presets/schema.py
@@ -85,24 +85,15 @@
     :param admission_factor: times the estimate that must fit before the
         deadline.
     :param retry_share: retries as a share of first tries.
-    :param hedge_share: second copies of idempotent requests as a share of
-        first tries.
-    :param hedge_after_ratio: a request is hedged once it has run this many
-        times its expected time.
     :param guard_share: largest share of a service's workers that guards
         may take out.
-    :param concurrency_guard: whether agents lower the number of tasks at a
-        backend server that slows down under them.
     """
 
     queue_bound: Annotated[int, Meta(ge=1, le=10_000_000)] = 10_000
     admission: Admission = Admission.DEADLINE
     admission_factor: Annotated[float, Meta(ge=0.1, le=10.0)] = 2.0
     retry_share: Share = 0.1
-    hedge_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.05
-    hedge_after_ratio: Annotated[float, Meta(ge=1.0, le=100.0)] = 3.0
     guard_share: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.3
-    concurrency_guard: bool = True
 
 
 class Preset(msgspec.Struct, frozen=True):
