Split the state of the dispatch cores from their decisions; bring the capacity page up to date

Cause: dispatch/entry.py had grown to 790 lines and agent.py to 610, state and settings beside decisions; the capacity page still told of 900 s of remembered jobs and of agents attached to every entry.

--- a/packages/briarford-bench/src/briarford_bench/capacity.py
+++ b/packages/briarford-bench/src/briarford_bench/capacity.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
+from briarford.homes.ids import FIRST_SUBMIT_WINDOW_S, RECORD_GRACE_S
 from briarford_bench.fleet import FleetSize
 from briarford_bench.slopes import TASKS_PER_JOB, Fit, Slope
 
@@ -35,7 +36,7 @@
     teams: int = 69
     tasks_per_job: float = 24.0
     busy_percent: float = 70.0
-    remembered_s: float = 900.0
+    remembered_s: float = FIRST_SUBMIT_WINDOW_S + RECORD_GRACE_S
     entries_per_agent: int = 4
 
 
--- a/packages/briarford/src/briarford/dispatch/agent.py
+++ b/packages/briarford/src/briarford/dispatch/agent.py
@@ -4,9 +4,21 @@
 
 import math
 import random
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
+from briarford.dispatch.agent_state import (
+    BACKEND,
+    GRANT,
+    HEARTBEAT,
+    RECORD,
+    RECORD_GRACE_S,
+    REDIAL,
+    SILENCE,
+    STOP,
+    AgentConfig,
+    AgentTimer,
+    EntryLink,
+)
 from briarford.dispatch.messages import (
     AgentStopped,
     BackendAnnounced,
@@ -28,7 +40,6 @@
 from briarford.jobs.messages import TaskRef
 from briarford.placement.grants import SlotGranter
 from briarford.sessions.messages import (
-    EntryAddress,
     EntryBatch,
     Hello,
     StartTask,
@@ -42,7 +53,7 @@
 from briarford.sessions.sequence import Arrival, Sequence
 from briarford.timers import Timers
 
-__all__ = ["AgentConfig", "AgentCore", "AgentEffect", "AgentMessage"]
+__all__ = ["AgentCore", "AgentEffect", "AgentMessage"]
 
 AgentMessage = (
     BackendAnnounced
@@ -67,72 +78,6 @@
     | SendToEntry
 )
 
-HEARTBEAT = "heartbeat"
-SILENCE = "silence"
-REDIAL = "redial"
-BACKEND = "backend"
-STOP = "stop"
-GRANT = "grant"
-RECORD = "record"
-RECORD_GRACE_S = 60.0
-
-
-@dataclass(slots=True, frozen=True)
-class AgentConfig:
-    """Settings of an agent core.
-
-    :param heartbeat_s: longest pause between two batches of a session.
-    :param silence_s: a session without a batch for so long is replaced.
-    :param redial_min_s: pause before a second try to reach an entry.
-    :param redial_max_s: longest pause between two tries.
-    :param keep_results_s: how long results wait for an entry that is gone.
-    :param deliver_s: how long a stopping agent tries to deliver results to
-        an entry that it cannot reach.
-    """
-
-    heartbeat_s: float = 0.5
-    silence_s: float = 1.5
-    redial_min_s: float = 0.1
-    redial_max_s: float = 2.0
-    keep_results_s: float = 30.0
-    deliver_s: float = 5.0
-
-
-@dataclass(slots=True)
-class _Link:
-    """All that an agent has with one entry, across sessions.
-
-    :param clock_lead_s: seconds by which this clock is ahead of the
-        entry's, with the shortest way that a welcome took.
-    :param left_in: number of the first batch of this session that said that
-        no work is taken; 0 if there is none.
-    :param heard: number of the last batch that the entry has taken in.
-    """
-
-    entry: EntryAddress
-    session: int = 0
-    open: bool = False
-    welcomed: bool = False
-    wanted: bool = True
-    failures: int = 0
-    incarnation: str = ""
-    lost_at: float = 0.0
-    clock_lead_s: float = math.inf
-    left_in: int = 0
-    heard: int = 0
-    sequence: Sequence = field(default_factory=Sequence)
-    outbox: AgentOutbox = field(default_factory=AgentOutbox)
-    running: set[TaskRef] = field(default_factory=set)
-    results: dict[TaskRef, TaskResult] = field(default_factory=dict)
-
-
-@dataclass(slots=True, frozen=True)
-class _Timer:
-    """Key of a deadline: what it is for, and with which entry."""
-
-    kind: str
-    address: str = ""
-
 
 class AgentCore:
     """Takes one message at a time; a turn grants slots and builds batches.
@@ -163,13 +108,13 @@
         self._cfg = cfg or AgentConfig()
         self._rng = rng
         self._granter = SlotGranter()
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, EntryLink] = {}
         self._calls: dict[TaskRef, str] = {}
         self._started: dict[TaskRef, float] = {}
         self._announced_until = 0.0
         self._last_session = 0
         self._dirty: dict[str, None] = {}
-        self._timers: Timers[_Timer] = Timers()
+        self._timers: Timers[AgentTimer] = Timers()
         self._effects: list[AgentEffect] = []
         self._stopped = False
 
@@ -186,7 +131,7 @@
 
     @receive.register
     def _(self, message: BackendAnnounced, now: float) -> None:
-        self._timers.set(_Timer(BACKEND), message.expires_at)
+        self._timers.set(AgentTimer(BACKEND), message.expires_at)
         self._announced_until = message.expires_at
         if message.worker == self.worker and not self.leaving:
             return
@@ -195,7 +140,7 @@
 
     @receive.register
     def _(self, message: BackendLeft, now: float) -> None:
-        self._timers.clear(_Timer(BACKEND))
+        self._timers.clear(AgentTimer(BACKEND))
         self._announced_until = now
         self._leave(message.reason)
 
@@ -216,7 +161,7 @@
             link.wanted = address in wanted
         for address, entry in wanted.items():
             if address not in self._links:
-                self._links[address] = _Link(entry)
+                self._links[address] = EntryLink(entry)
                 self._dial(self._links[address], now)
 
     @receive.register
@@ -264,7 +209,7 @@
     @receive.register
     def _(self, message: StopRequested, now: float) -> None:
         self.stopping = True
-        self._timers.set(_Timer(STOP), message.deadline)
+        self._timers.set(AgentTimer(STOP), message.deadline)
         self._leave("the agent is stopping")
 
     @receive.register
@@ -305,7 +250,9 @@
 
     # Batches of an entry.
 
-    def _take_batch(self, link: _Link, batch: EntryBatch, now: float) -> None:
+    def _take_batch(
+        self, link: EntryLink, batch: EntryBatch, now: float
+    ) -> None:
         if batch.welcome is not None:
             self._welcome(link, batch.welcome, now)
         if not link.welcomed:
@@ -327,7 +274,7 @@
         if batch.preset:
             self._effects.append(PresetAdopted(0, batch.preset))
 
-    def _welcome(self, link: _Link, welcome: Welcome, now: float) -> None:
+    def _welcome(self, link: EntryLink, welcome: Welcome, now: float) -> None:
         if link.incarnation != welcome.incarnation:
             link.running.clear()
             link.results.clear()
@@ -350,7 +297,7 @@
         if link.outbox.reports or link.outbox.results:
             self._mark(link)
 
-    def _answer_for(self, link: _Link, ref: TaskRef) -> None:
+    def _answer_for(self, link: EntryLink, ref: TaskRef) -> None:
         """Account for an attempt that the entry counts as outstanding."""
         if ref in link.results or ref in link.running:
             return
@@ -361,7 +308,7 @@
             return
         link.outbox.reports.append(TaskReport(ref, TaskStatus.NOT_STARTED))
 
-    def _start(self, link: _Link, start: StartTask, now: float) -> None:
+    def _start(self, link: EntryLink, start: StartTask, now: float) -> None:
         ref = start.ref
         if ref in link.running or ref in link.results:
             return
@@ -399,8 +346,8 @@
     def _remember(self, ref: TaskRef, deadline: float) -> None:
         """Keep a record of a start until no entry can ask for it."""
         self._started[ref] = deadline + RECORD_GRACE_S
-        if _Timer(RECORD) not in self._timers:
-            self._timers.set(_Timer(RECORD), self._started[ref])
+        if AgentTimer(RECORD) not in self._timers:
+            self._timers.set(AgentTimer(RECORD), self._started[ref])
 
     def _forget_starts(self, now: float) -> None:
         self._started = {
@@ -411,13 +358,13 @@
         if self._started:
             earliest = min(self._started.values())
             next_at = max(earliest, now + RECORD_GRACE_S)
-            self._timers.set(_Timer(RECORD), next_at)
+            self._timers.set(AgentTimer(RECORD), next_at)
 
-    def _cancel(self, link: _Link, ref: TaskRef) -> None:
+    def _cancel(self, link: EntryLink, ref: TaskRef) -> None:
         if ref in link.running:
             self._effects.append(CancelCall(ref))
 
-    def _report(self, link: _Link, result: TaskResult) -> None:
+    def _report(self, link: EntryLink, result: TaskResult) -> None:
         link.results[result.ref] = result
         if link.welcomed:
             link.outbox.results.append(result)
@@ -425,7 +372,7 @@
 
     # Sessions.
 
-    def _dial(self, link: _Link, now: float) -> None:
+    def _dial(self, link: EntryLink, now: float) -> None:
         self._last_session += 1
         link.session = self._last_session
         link.open = True
@@ -441,7 +388,7 @@
         self._arm(link, SILENCE, now + self._cfg.silence_s)
         self._mark(link)
 
-    def _lose(self, link: _Link, now: float) -> None:
+    def _lose(self, link: EntryLink, now: float) -> None:
         """End the session and dial again, at once the first time."""
         if not link.open:
             return
@@ -449,8 +396,8 @@
         if link.welcomed:
             self._granter.detach(link.entry.address)
         link.welcomed = False
-        self._timers.clear(_Timer(SILENCE, link.entry.address))
-        self._timers.clear(_Timer(HEARTBEAT, link.entry.address))
+        self._timers.clear(AgentTimer(SILENCE, link.entry.address))
+        self._timers.clear(AgentTimer(HEARTBEAT, link.entry.address))
         if link.failures == 0:
             link.lost_at = now
         link.failures += 1
@@ -460,7 +407,7 @@
             return
         self._arm(link, REDIAL, now + self._redial_pause(link.failures))
 
-    def _finished(self, link: _Link, now: float) -> bool:
+    def _finished(self, link: EntryLink, now: float) -> bool:
         """Whether an entry that has left needs nothing more from here."""
         if link.wanted or link.running:
             return False
@@ -478,7 +425,7 @@
             longest, self._cfg.redial_max_s
         )
 
-    def _mark(self, link: _Link) -> None:
+    def _mark(self, link: EntryLink) -> None:
         link.outbox.urgent = True
         self._dirty[link.entry.address] = None
 
@@ -533,7 +480,7 @@
             return
         self._stop()
 
-    def _undelivered(self, link: _Link, now: float) -> bool:
+    def _undelivered(self, link: EntryLink, now: float) -> bool:
         if not link.results:
             return False
         return link.welcomed or now - link.lost_at < self._cfg.deliver_s
@@ -544,15 +491,15 @@
 
     # Deadlines.
 
-    def _arm(self, link: _Link, kind: str, deadline: float) -> None:
-        self._timers.set(_Timer(kind, link.entry.address), deadline)
+    def _arm(self, link: EntryLink, kind: str, deadline: float) -> None:
+        self._timers.set(AgentTimer(kind, link.entry.address), deadline)
 
     def _arm_grant(self, now: float) -> None:
         grant_at = self._granter.next_turn_at()
         if grant_at is not None and grant_at > now:
-            self._timers.set(_Timer(GRANT), grant_at)
+            self._timers.set(AgentTimer(GRANT), grant_at)
 
-    def _expire(self, timer: _Timer, now: float) -> None:
+    def _expire(self, timer: AgentTimer, now: float) -> None:
         if timer.kind == RECORD:
             self._forget_starts(now)
             return
@@ -580,7 +527,7 @@
         self._effects.append(Decision(action, reason, fields))
 
 
-def _may_start(link: _Link) -> bool:
+def _may_start(link: EntryLink) -> bool:
     """Whether the entry may have sent starts before it heard of the leaving.
 
     Its batches come in order, so none follows one that has heard of it.
--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -3,9 +3,23 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
+from briarford.dispatch.entry_state import (
+    AGENT_LOST,
+    HEARTBEAT,
+    JOB_DEADLINE,
+    JOB_FORGET,
+    NOTICE,
+    NOTICE_EVERY_S,
+    SERVICE_LOST,
+    SILENCE,
+    TASK_RETRY,
+    AgentRecord,
+    AgentSession,
+    EntryConfig,
+    EntryTimer,
+)
 from briarford.dispatch.messages import (
     AgentAttached,
     AgentBatchArrived,
@@ -49,10 +63,10 @@
     Welcome,
 )
 from briarford.sessions.outbox import EntryOutbox
-from briarford.sessions.sequence import Arrival, Sequence
+from briarford.sessions.sequence import Arrival
 from briarford.timers import Timers
 
-__all__ = ["EntryConfig", "EntryCore", "EntryEffect", "EntryMessage"]
+__all__ = ["EntryCore", "EntryEffect", "EntryMessage"]
 
 EntryMessage = (
     AgentAttached
@@ -66,77 +80,6 @@
 )
 EntryEffect = SendToAgent | CloseSession | JobEnded | Decision
 
-JOB_DEADLINE = "job-deadline"
-JOB_FORGET = "job-forget"
-TASK_RETRY = "task-retry"
-AGENT_LOST = "agent-lost"
-SERVICE_LOST = "service-lost"
-NOTICE = "notice"
-NOTICE_EVERY_S = 0.05
-SILENCE = "silence"
-HEARTBEAT = "heartbeat"
-
-
-@dataclass(slots=True, frozen=True)
-class EntryConfig:
-    """Settings of an entry core.
-
-    :param heartbeat_s: longest pause between two batches of a session.
-    :param silence_s: a session without a batch for so long has ended.
-    :param reattach_s: how long an agent without a session may come back
-        before its outstanding attempts are given up.
-    :param remember_s: how long an ended job is remembered at least.
-    :param answer_budget_bytes: memory for answers of ended jobs.
-    :param max_attempts: attempts at one task of an idempotent request.
-    :param retry_min_s: pause before a task is queued again that came back
-        un-started for the second time; it doubles each time.
-    :param retry_max_s: longest such pause.
-    """
-
-    heartbeat_s: float = 0.5
-    silence_s: float = 1.5
-    reattach_s: float = 5.0
-    remember_s: float = 60.0
-    answer_budget_bytes: int = 64_000_000
-    max_attempts: int = 3
-    retry_min_s: float = 0.005
-    retry_max_s: float = 1.0
-
-
-@dataclass(slots=True)
-class _Agent:
-    """What outlives a session with an agent."""
-
-    name: str
-    incarnation: str
-    session: int
-    conn: int | None
-    outstanding: dict[TaskRef, QueuedTask] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _Session:
-    """One stream from an agent."""
-
-    conn: int
-    heard_at: float
-    sent_at: float
-    agent: str = ""
-    zone: str = ""
-    service: str = ""
-    leaving: bool = False
-    preset_version: int = 0
-    sequence: Sequence = field(default_factory=Sequence)
-    outbox: EntryOutbox = field(default_factory=EntryOutbox)
-
-
-@dataclass(slots=True, frozen=True)
-class _Timer:
-    """Key of a deadline: what it is for, and of which job or agent."""
-
-    kind: str
-    key: str | int | TaskRef
-
 
 class EntryCore:
     """Takes one message at a time; a turn places tasks and builds batches.
@@ -169,10 +112,10 @@
         self._rng = rng
         self._cfg = cfg or EntryConfig()
         self._budgets = AttemptBudgets(limits or LimitConfig())
-        self._agents: dict[str, _Agent] = {}
-        self._sessions: dict[int, _Session] = {}
+        self._agents: dict[str, AgentRecord] = {}
+        self._sessions: dict[int, AgentSession] = {}
         self._dirty: dict[int, None] = {}
-        self._timers: Timers[_Timer] = Timers()
+        self._timers: Timers[EntryTimer] = Timers()
         self._effects: list[EntryEffect] = []
 
     # Messages in.
@@ -224,7 +167,7 @@
 
     @receive.register
     def _(self, message: AgentAttached, now: float) -> None:
-        session = _Session(message.conn, heard_at=now, sent_at=now)
+        session = AgentSession(message.conn, heard_at=now, sent_at=now)
         self._sessions[message.conn] = session
         self._arm_silence(session)
 
@@ -359,12 +302,12 @@
         """Refuse the id from now on: a repeat may be on its way already."""
         job = self.jobs.add(spec, forget_at)
         self.jobs.end(job, refused)
-        self._timers.set(_Timer(JOB_FORGET, spec.job_id), forget_at)
+        self._timers.set(EntryTimer(JOB_FORGET, spec.job_id), forget_at)
 
     def _accept(self, spec: JobSpec, now: float, forget_at: float) -> None:
         keep_until = spec.deadline + self._cfg.remember_s
         self.jobs.add(spec, max(forget_at, keep_until))
-        self._timers.set(_Timer(JOB_DEADLINE, spec.job_id), spec.deadline)
+        self._timers.set(EntryTimer(JOB_DEADLINE, spec.job_id), spec.deadline)
         self.placer.enqueue(
             QueuedTask(
                 ref=TaskRef(spec.job_id, index),
@@ -390,12 +333,12 @@
         if not isinstance(outcome, Completed):
             self.placer.drop_job(job.job_id)
         for ref in job.resting:
-            self._timers.clear(_Timer(TASK_RETRY, ref))
+            self._timers.clear(EntryTimer(TASK_RETRY, ref))
         self._cancel_outstanding(job)
         self.jobs.end(job, outcome)
-        self._timers.clear(_Timer(JOB_DEADLINE, job.job_id))
+        self._timers.clear(EntryTimer(JOB_DEADLINE, job.job_id))
         forget_at = max(job.forget_at, now)
-        self._timers.set(_Timer(JOB_FORGET, job.job_id), forget_at)
+        self._timers.set(EntryTimer(JOB_FORGET, job.job_id), forget_at)
         self._effects.append(JobEnded(job.job_id, outcome))
 
     def _cancel_outstanding(self, job: Job) -> None:
@@ -421,7 +364,7 @@
         pause_s = self._retry_pause(job.denials.get(ref.index, 0))
         if pause_s:
             job.resting[ref] = again
-            self._timers.set(_Timer(TASK_RETRY, ref), now + pause_s)
+            self._timers.set(EntryTimer(TASK_RETRY, ref), now + pause_s)
         else:
             self.placer.enqueue([again])
         self._watch_service(task.service, now)
@@ -449,7 +392,7 @@
 
     def _watch_service(self, service: str, now: float) -> None:
         """Give a service without workers a while to get one."""
-        timer = _Timer(SERVICE_LOST, service)
+        timer = EntryTimer(SERVICE_LOST, service)
         if self._has_worker(service) or timer in self._timers:
             return
         self._timers.set(timer, now + self._cfg.reattach_s)
@@ -502,7 +445,9 @@
             worker=placed.worker,
         )
 
-    def _settle(self, agent: _Agent, result: TaskResult, now: float) -> None:
+    def _settle(
+        self, agent: AgentRecord, result: TaskResult, now: float
+    ) -> None:
         """Take the end of an attempt, once."""
         task = agent.outstanding.pop(result.ref, None)
         if task is None:
@@ -530,7 +475,7 @@
         self,
         job: Job,
         task: QueuedTask,
-        agent: _Agent,
+        agent: AgentRecord,
         result: TaskResult,
         now: float,
     ) -> None:
@@ -568,7 +513,7 @@
     # Sessions.
 
     def _take_batch(
-        self, session: _Session, batch: AgentBatch, now: float
+        self, session: AgentSession, batch: AgentBatch, now: float
     ) -> None:
         if batch.hello is not None:
             self._open(session, batch.hello, now)
@@ -601,24 +546,24 @@
             self._return_credits(session, agent, batch.recall)
 
     def _take_report(
-        self, agent: _Agent, report: TaskReport, now: float
+        self, agent: AgentRecord, report: TaskReport, now: float
     ) -> None:
         if report.status is TaskStatus.NOT_STARTED:
             result = TaskResult(report.ref, TaskStatus.NOT_STARTED)
             self._settle(agent, result, now)
 
     def _return_credits(
-        self, session: _Session, agent: _Agent, wanted: int
+        self, session: AgentSession, agent: AgentRecord, wanted: int
     ) -> None:
         returned = self.placer.return_credits(agent.name, wanted)
         if returned:
             session.outbox.returned += returned
             self._mark(session)
 
-    def _open(self, session: _Session, hello: Hello, now: float) -> None:
+    def _open(self, session: AgentSession, hello: Hello, now: float) -> None:
         agent = self._agents.get(hello.agent)
         if agent is None:
-            agent = _Agent(hello.agent, hello.incarnation, 0, None)
+            agent = AgentRecord(hello.agent, hello.incarnation, 0, None)
             self._agents[hello.agent] = agent
         if agent.incarnation != hello.incarnation:
             self._restart(agent, hello, now)
@@ -632,7 +577,7 @@
         agent.conn = session.conn
         session.agent = agent.name
         session.zone = hello.zone
-        self._timers.clear(_Timer(AGENT_LOST, agent.name))
+        self._timers.clear(EntryTimer(AGENT_LOST, agent.name))
         session.outbox.welcome = Welcome(
             self.name, self.incarnation, tuple(agent.outstanding), now
         )
@@ -647,7 +592,7 @@
         job = self.jobs.get(ref.job_id)
         return job is None or job.outcome is not None
 
-    def _restart(self, agent: _Agent, hello: Hello, now: float) -> None:
+    def _restart(self, agent: AgentRecord, hello: Hello, now: float) -> None:
         """Give up what an earlier incarnation of an agent had."""
         old = self._session_of(agent)
         if old is not None:
@@ -662,43 +607,43 @@
         del self._agents[name]
 
     def _lose_outstanding(
-        self, agent: _Agent, detail: str, now: float
+        self, agent: AgentRecord, detail: str, now: float
     ) -> None:
         for ref in list(agent.outstanding):
             result = TaskResult(ref, TaskStatus.LOST, detail=detail)
             self._settle(agent, result, now)
 
-    def _close(self, session: _Session, reason: str, now: float) -> None:
+    def _close(self, session: AgentSession, reason: str, now: float) -> None:
         self._effects.append(CloseSession(session.conn, reason))
         self._drop_session(session, now)
 
-    def _drop_session(self, session: _Session, now: float) -> None:
+    def _drop_session(self, session: AgentSession, now: float) -> None:
         del self._sessions[session.conn]
         self._dirty.pop(session.conn, None)
-        self._timers.clear(_Timer(SILENCE, session.conn))
-        self._timers.clear(_Timer(HEARTBEAT, session.conn))
+        self._timers.clear(EntryTimer(SILENCE, session.conn))
+        self._timers.clear(EntryTimer(HEARTBEAT, session.conn))
         agent = self._agents.get(session.agent)
         if agent is None or agent.conn != session.conn:
             return
         agent.conn = None
         self.placer.remove_worker(agent.name)
         give_up_at = now + self._cfg.reattach_s
-        self._timers.set(_Timer(AGENT_LOST, agent.name), give_up_at)
+        self._timers.set(EntryTimer(AGENT_LOST, agent.name), give_up_at)
         if session.service:
             self._watch_service(session.service, now)
         self._decide("agent-detached", "session ended", worker=agent.name)
 
-    def _session_of(self, agent: _Agent) -> _Session | None:
+    def _session_of(self, agent: AgentRecord) -> AgentSession | None:
         if agent.conn is None:
             return None
         return self._sessions.get(agent.conn)
 
-    def _offer_preset(self, session: _Session) -> None:
+    def _offer_preset(self, session: AgentSession) -> None:
         if session.preset_version < self.preset_version:
             session.outbox.preset = self._preset
             self._mark(session)
 
-    def _mark(self, session: _Session) -> None:
+    def _mark(self, session: AgentSession) -> None:
         session.outbox.urgent = True
         self._dirty[session.conn] = None
 
@@ -708,7 +653,7 @@
             session = self._session_of(self._agents[name])
             if session is not None:
                 self._mark(session)
-        timer = _Timer(NOTICE, "")
+        timer = EntryTimer(NOTICE, "")
         if timer not in self._timers and any(self.placer.counts().values()):
             self._timers.set(timer, now + NOTICE_EVERY_S)
 
@@ -729,15 +674,15 @@
 
     # Deadlines.
 
-    def _arm_silence(self, session: _Session) -> None:
+    def _arm_silence(self, session: AgentSession) -> None:
         deadline = session.heard_at + self._cfg.silence_s
-        self._timers.set(_Timer(SILENCE, session.conn), deadline)
+        self._timers.set(EntryTimer(SILENCE, session.conn), deadline)
 
-    def _arm_heartbeat(self, session: _Session) -> None:
+    def _arm_heartbeat(self, session: AgentSession) -> None:
         deadline = session.sent_at + self._cfg.heartbeat_s
-        self._timers.set(_Timer(HEARTBEAT, session.conn), deadline)
+        self._timers.set(EntryTimer(HEARTBEAT, session.conn), deadline)
 
-    def _expire(self, timer: _Timer, now: float) -> None:
+    def _expire(self, timer: EntryTimer, now: float) -> None:
         key = timer.key
         if isinstance(key, TaskRef):
             self._end_rest(key)
