--- a/packages/briarford-bench/tests/test_capacity.py
+++ b/packages/briarford-bench/tests/test_capacity.py
@@ -36,7 +36,9 @@
         pytest.param(
             "control processor", 51.0, 1 + 50 * 4 / 83, id="entry-control"
         ),
-        pytest.param("jobs remembered", 15361.4458, 15361.4458, id="remembered"),
+        pytest.param(
+            "jobs remembered", 15361.4458, 15361.4458, id="remembered"
+        ),
         pytest.param("memory of those", 30.722892, 30.722892, id="memory"),
         pytest.param("processor for data", 11.152, 11.152, id="agent-data"),
     ],
