--- a/packages/briarford-daemon/src/briarford_daemon/http_server.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import time
 from collections.abc import Iterator
@@ -51,6 +52,7 @@
     :param host: IP number to listen on.
     :param port: port to listen on, 0 for any free one.
     :param connections: most connections at the same time, None for any.
+    :param stop_within_s: how long a stop waits for requests in flight.
     """
 
     def __init__(
@@ -59,11 +61,13 @@
         host: str = "127.0.0.1",
         port: int = 0,
         connections: int | None = None,
+        stop_within_s: float = STOP_TIMEOUT_S,
     ) -> None:
         self._app = app
         self._host = host
         self._port = port
         self._connections = connections
+        self._stop_within_s = stop_within_s
         self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
         self.address = ""
@@ -79,7 +83,7 @@
             access_log=False,
             proxy_headers=False,
             limit_concurrency=self._connections,
-            timeout_graceful_shutdown=STOP_TIMEOUT_S,
+            timeout_graceful_shutdown=math.ceil(self._stop_within_s),
             server_header=False,
             date_header=False,
         )
@@ -92,7 +96,7 @@
             await asyncio.sleep(POLL_S)
 
     async def stop(self) -> None:
-        """Stop listening and end what is left after a second."""
+        """Stop listening, and wait for the requests in flight."""
         if self._server is None or self._task is None:
             return
         self._server.should_exit = True
--- a/packages/briarford-daemon/src/briarford_daemon/processes.py
+++ b/packages/briarford-daemon/src/briarford_daemon/processes.py
@@ -26,7 +26,12 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.daemon = EntryDaemon(settings, Clock())
         host, port = split_address(settings.http)
-        self._http = HttpServer(build_entry_app(self.daemon), host, port)
+        self._http = HttpServer(
+            build_entry_app(self.daemon),
+            host,
+            port,
+            stop_within_s=settings.stop_within_s,
+        )
 
     @property
     def http_address(self) -> str:
