--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 # All set-up happens here: a fresh machine needs Python 3.11, pip and make.
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := briarford briarford-daemon briarford-bench briarford-cli
+PACKAGES := packages/briarford packages/briarford-daemon packages/briarford-bench packages/briarford-cli platform
 
 .PHONY: demo test check format soak
 
-.venv/.installed: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+.venv/.installed: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e %)
 	touch $@
 
 demo: .venv/.installed
@@ -20,7 +20,7 @@
 check: .venv/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/src
 
 format: .venv/.installed
 	$(BIN)/ruff format .
--- a/packages/briarford-daemon/src/briarford_daemon/clock.py
+++ b/packages/briarford-daemon/src/briarford_daemon/clock.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 import time
+from typing import Protocol
 
-__all__ = ["Clock"]
+__all__ = ["Clock", "Timekeeper"]
+
+
+class Timekeeper(Protocol):
+    """Tells Unix time in seconds that never goes back."""
+
+    def now(self) -> float:
+        """Return Unix time in seconds."""
 
 
 class Clock:
--- a/packages/briarford-daemon/src/briarford_daemon/driver.py
+++ b/packages/briarford-daemon/src/briarford_daemon/driver.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
-from briarford_daemon.clock import Clock
+from briarford_daemon.clock import Timekeeper
 
 __all__ = ["Core", "CoreDriver"]
 
@@ -43,7 +43,7 @@
     def __init__(
         self,
         core: Core[D, F],
-        clock: Clock,
+        clock: Timekeeper,
         perform: Callable[[F], None],
     ) -> None:
         self._core = core
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -0,0 +1,232 @@
+"""The agent beside a worker: its sockets and tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Coroutine, Sequence
+from typing import Any, Protocol
+
+from briarford.runs import (
+    Attach,
+    EntryMessage,
+    OrderResult,
+    RunAgent,
+    RunListing,
+    WorkerReport,
+)
+from briarford.runs.agent import (
+    AgentEffect,
+    AgentEvent,
+    PlaceOrder,
+    SendToEntry,
+    WithdrawRun,
+)
+from briarford.store import Store
+from briarford_daemon.fleet.clock import BootClock
+from briarford_daemon.fleet.driver import TurnDriver
+from briarford_daemon.fleet.links import AgentLinks
+from briarford_daemon.fleet.registry import AGENTS_PREFIX, Registration
+from briarford_daemon.fleet.settings import FleetSettings
+
+__all__ = ["FleetAgent", "WorkerPort"]
+
+EVENTS = logging.getLogger("briarford.decision")
+
+LISTING_WAIT_S = 0.2  # renews a lease of one second five times
+LISTING_RETRY_S = 0.05
+WITHDRAW_RETRY_S = 0.1
+STOP_POLL_S = 0.05
+STOP_RESERVE_S = 0.7  # of a stop, for closing what is left
+
+
+class WorkerPort(Protocol):
+    """How an agent calls its worker."""
+
+    async def start_run(
+        self, worker: WorkerReport, order: PlaceOrder, token: int
+    ) -> OrderResult:
+        """Order a run."""
+
+    async def stop_run(
+        self, worker: WorkerReport, order: WithdrawRun, token: int
+    ) -> bool:
+        """Order a run to stop; False if there was no answer."""
+
+    async def list_runs(
+        self,
+        worker: WorkerReport,
+        last_seen: int,
+        token: int,
+        wait_s: float,
+        extend: bool,
+    ) -> RunListing | None:
+        """Acknowledge ends and read the lists; None without an answer.
+
+        :param wait_s: the answer may wait so long for an end.
+        :param extend: whether to renew the lease of the runs.
+        """
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+class FleetAgent:
+    """An agent process.
+
+    :param cfg: its settings.
+    :param store: the key-value service.
+    :param port: how to call the worker.
+    """
+
+    def __init__(
+        self, cfg: FleetSettings, store: Store, port: WorkerPort
+    ) -> None:
+        self._cfg = cfg
+        self._port = port
+        self._clock = BootClock()
+        self.core = RunAgent(cfg.name, secrets.token_hex(4))
+        self._token = 0
+        self._links = AgentLinks(self._attach, self._receive, self._closed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._driver: TurnDriver[AgentEffect] | None = None
+        self._registration = Registration(
+            store,
+            self._clock,
+            AGENTS_PREFIX + cfg.name,
+            f"{cfg.ip}:{cfg.rpc_port}".encode(),
+            self._registered,
+        )
+        self._reported = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start serving entries and the worker."""
+        self._driver = TurnDriver(self.core, self._clock, self._perform)
+        await self._links.start(self._cfg.ip, self._cfg.rpc_port)
+        self._spawn(self._registration.run())
+        self._spawn(self._watch_worker())
+        self._driver.wake()
+
+    async def stop(self) -> None:
+        """Take no new runs, and let those in progress end."""
+        self.core.stopping = True
+        self._wake()
+        deadline = self._clock.now() + self._cfg.stop_within_s - STOP_RESERVE_S
+        await self._registration.end()
+        await self._wait_until_drained(deadline)
+        if self._driver is not None:
+            self._driver.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.stop()
+        await self._port.close()
+
+    async def _wait_until_drained(self, deadline: float) -> None:
+        while self._clock.now() < deadline:
+            if self.core.drained():
+                return
+            await asyncio.sleep(STOP_POLL_S)
+
+    def worker_reported(self, report: WorkerReport) -> None:
+        """Take a heartbeat of the worker."""
+        self.core.worker_reported(report, self._clock.now())
+        self._reported.set()
+        self._wake()
+
+    def worker_left(self, worker: str) -> None:
+        """Take the sign-off of a worker."""
+        self.core.worker_left(worker, self._clock.now())
+        self._wake()
+
+    def _registered(self, version: int) -> None:
+        self._token = version
+        self.core.has_token = True
+        self._wake()
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            EVENTS.error("task-failed", exc_info=task.exception())
+
+    def _wake(self) -> None:
+        if self._driver is not None:
+            self._driver.wake()
+
+    def _attach(self, link: int, msg: Attach) -> None:
+        self.core.attach(link, msg, self._clock.now())
+        self._wake()
+
+    def _receive(self, link: int, messages: Sequence[EntryMessage]) -> None:
+        now = self._clock.now()
+        for msg in messages:
+            self.core.handle(link, msg, now)
+        self._wake()
+
+    def _closed(self, link: int) -> None:
+        self.core.link_closed(link)
+        self._wake()
+
+    def _perform(self, effect: AgentEffect) -> None:
+        match effect:
+            case SendToEntry():
+                self._links.send(effect.link, effect.message)
+            case PlaceOrder():
+                self._spawn(self._place(effect))
+            case WithdrawRun():
+                self._spawn(self._withdraw(effect))
+            case AgentEvent():
+                EVENTS.info(effect.action, extra=effect.fields)
+
+    async def _place(self, order: PlaceOrder) -> None:
+        worker = self.core.worker
+        if worker is None:
+            return
+        self.core.lease_extended(self._clock.now())
+        result = await self._port.start_run(worker, order, self._token)
+        self.core.order_answered(order.key, result, self._clock.now())
+        self._wake()
+
+    async def _withdraw(self, order: WithdrawRun) -> None:
+        while (worker := self.core.worker) is not None:
+            if await self._port.stop_run(worker, order, self._token):
+                self.core.stop_answered(order.key, self._clock.now())
+                self._wake()
+                return
+            if not self.core.is_open(order.key):
+                return
+            await asyncio.sleep(WITHDRAW_RETRY_S)
+
+    async def _watch_worker(self) -> None:
+        """Renew the lease of the runs and read the lists, again and again."""
+        while True:
+            worker = self.core.worker
+            if worker is None or not self.core.has_token:
+                self._reported.clear()
+                await asyncio.wait(
+                    [asyncio.create_task(self._reported.wait())],
+                    timeout=LISTING_WAIT_S,
+                )
+                continue
+            asked_at = self._clock.now()
+            extend = self.core.may_extend_lease(asked_at)
+            if extend:
+                self.core.lease_extended(asked_at)
+            listing = await self._port.list_runs(
+                worker,
+                self.core.last_seen,
+                self._token,
+                LISTING_WAIT_S if self.core.settled else 0.0,
+                extend,
+            )
+            if listing is None:
+                await asyncio.sleep(LISTING_RETRY_S)
+                continue
+            self.core.listing_received(listing, asked_at, self._clock.now())
+            self._wake()
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -0,0 +1,198 @@
+"""The entry that clients talk to: its sockets and tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any
+
+from briarford.exceptions import StoreError
+from briarford.outcomes import Outcome
+from briarford.requests import (
+    DialAgent,
+    Dispatcher,
+    DropLink,
+    EntryEvent,
+    JobEnded,
+    JobRequest,
+    SendToAgent,
+)
+from briarford.requests.effects import EntryEffect
+from briarford.routes import Configuration, ConfigurationHolder, Route
+from briarford.runs import AgentMessage
+from briarford.store import Store
+from briarford_daemon.fleet.clock import BootClock
+from briarford_daemon.fleet.driver import TurnDriver
+from briarford_daemon.fleet.links import EntryLinks
+from briarford_daemon.fleet.registry import CALL_TIMEOUT_S, POLL_S, Directory
+from briarford_daemon.fleet.settings import FleetSettings
+
+__all__ = ["FleetEntry"]
+
+EVENTS = logging.getLogger("briarford.decision")
+
+STOP_POLL_S = 0.05
+STOP_RESERVE_S = 0.6  # of a stop, for closing what is left
+# The balancer notices after two checks, a second apart, that it is not ready.
+STAY_S = 2.6
+
+ReadConfiguration = Callable[[Store, float], Awaitable[Configuration | None]]
+
+
+class FleetEntry:
+    """An entry process.
+
+    :param cfg: its settings.
+    :param store: the key-value service.
+    :param read_configuration: reads the operators' record by a deadline.
+    """
+
+    def __init__(
+        self,
+        cfg: FleetSettings,
+        store: Store,
+        read_configuration: ReadConfiguration,
+    ) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._read_configuration = read_configuration
+        self.clock = BootClock()
+        self.core = Dispatcher(cfg.name, secrets.token_hex(4))
+        self.routes = ConfigurationHolder()
+        self.stopping = False
+        self._links = EntryLinks(self._up, self._receive, self._down)
+        self._directory = Directory(store, self.clock, self._listed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._waiters: dict[str, list[asyncio.Future[Outcome]]] = {}
+        self._driver: TurnDriver[EntryEffect] | None = None
+
+    async def start(self) -> None:
+        """Look for the configuration and for agents."""
+        self._driver = TurnDriver(self.core, self.clock, self._perform)
+        self._spawn(self._directory.run())
+        self._spawn(self._follow_configuration())
+        self._driver.wake()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here."""
+        has_routes = self.routes.current is not None
+        return has_routes and not self.stopping and self.core.can_place
+
+    async def drain(self) -> None:
+        """Stop being ready, and finish what has been accepted."""
+        self.stopping = True
+        now = self.clock.now()
+        stop_by = now + self._cfg.stop_within_s - STOP_RESERVE_S
+        self.core.stop_by = stop_by
+        while self.clock.now() < stop_by:
+            await asyncio.sleep(STOP_POLL_S)
+            stayed = self.clock.now() >= now + STAY_S
+            if stayed and not self.core.open_jobs:
+                return
+
+    async def stop(self) -> None:
+        """Close all connections to agents."""
+        if self._driver is not None:
+            self._driver.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.stop()
+
+    async def submit(self, request: JobRequest, route: Route) -> Outcome:
+        """Take a request and wait for its outcome."""
+        outcome = self.core.submit(request, route, self.clock.now())
+        self._wake()
+        if outcome is not None:
+            return outcome
+        fut: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters.setdefault(request.job, []).append(fut)
+        try:
+            return await fut
+        finally:
+            self._forget(request.job, fut)
+
+    def _forget(self, job: str, fut: asyncio.Future[Outcome]) -> None:
+        """Cancel the job once nobody waits for it any more."""
+        waiters = self._waiters.get(job, [])
+        if fut in waiters:
+            waiters.remove(fut)
+        if not waiters and self._waiters.pop(job, None) is not None:
+            self.core.cancel(job, self.clock.now())
+            self._wake()
+
+    def cancel(self, job: str) -> bool:
+        """Cancel a job; False if there is none."""
+        cancelled = self.core.cancel(job, self.clock.now())
+        self._wake()
+        return cancelled
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            EVENTS.error("task-failed", exc_info=task.exception())
+
+    def _wake(self) -> None:
+        if self._driver is not None:
+            self._driver.wake()
+
+    def _up(self, agent: str, link: int) -> None:
+        self.core.link_up(agent, link, self.clock.now())
+        self._wake()
+
+    def _down(self, agent: str, link: int | None) -> None:
+        self.core.link_down(agent, link, self.clock.now())
+        self._wake()
+
+    def _receive(self, link: int, messages: Sequence[AgentMessage]) -> None:
+        now = self.clock.now()
+        for msg in messages:
+            self.core.handle(link, msg, now)
+        self._wake()
+
+    def _listed(self, directory: dict[str, str]) -> None:
+        self.core.agents_listed(directory, self.clock.now())
+        self._wake()
+
+    def _perform(self, effect: EntryEffect) -> None:
+        match effect:
+            case SendToAgent():
+                self._links.send(effect.link, effect.message)
+            case DialAgent():
+                self._links.dial(effect.agent, effect.address)
+            case DropLink():
+                self._links.drop(effect.link)
+            case JobEnded():
+                for fut in self._waiters.pop(effect.job, ()):
+                    if not fut.done():
+                        fut.set_result(effect.outcome)
+            case EntryEvent():
+                EVENTS.info(effect.action, extra=effect.fields)
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            await self._take_configuration()
+            await asyncio.sleep(POLL_S)
+
+    async def _take_configuration(self) -> None:
+        deadline = self.clock.now() + CALL_TIMEOUT_S
+        try:
+            cfg = await self._read_configuration(self._store, deadline)
+        except StoreError as exc:
+            EVENTS.debug("configuration-not-read", extra={"error": str(exc)})
+            return
+        if cfg is not None and self.routes.offer(cfg, self.clock.now()):
+            EVENTS.info(
+                "configuration-in-force",
+                extra={"version": cfg.version, "routes": len(cfg.routes)},
+            )
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
@@ -0,0 +1,220 @@
+"""The gRPC sessions between entries and agents.
+
+An entry dials each agent and keeps one stream open; grpclib gets the
+MessagePack codec, so the messages of the library travel as they are.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from briarford.runs import (
+    AgentBatch,
+    AgentMessage,
+    Attach,
+    EntryBatch,
+    EntryMessage,
+)
+from briarford_daemon.settings import split_address
+from briarford_daemon.streams import Outgoing
+from briarford_daemon.wire import MsgpackCodec
+
+__all__ = ["AgentLinks", "EntryLinks"]
+
+LOGGER = logging.getLogger("briarford.links")
+
+RUNS_PATH = "/briarford.Runs/Attach"
+DIAL_TIMEOUT_S = 0.4  # a handshake between zones takes a few milliseconds
+
+_LOST = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    TimeoutError,
+    msgspec.MsgspecError,
+)
+
+M = TypeVar("M")
+B = TypeVar("B")
+
+
+class _Outbox(Generic[M, B]):
+    """Joins the messages of one turn of the event loop to one batch."""
+
+    def __init__(self, make_batch: Callable[[tuple[M, ...]], B]) -> None:
+        self._make_batch = make_batch
+        self._pending: list[M] = []
+        self.outgoing: Outgoing[B] = Outgoing()
+
+    def put(self, message: M) -> None:
+        """Add a message."""
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._pending.append(message)
+
+    def _flush(self) -> None:
+        batch = self._make_batch(tuple(self._pending))
+        self._pending.clear()
+        self.outgoing.put(batch)
+
+
+class AgentLinks:
+    """The server side, at an agent.
+
+    :param attach: is told the first message of a connection.
+    :param receive: is told the messages of a connection.
+    :param closed: is told the end of a connection.
+    """
+
+    def __init__(
+        self,
+        attach: Callable[[int, Attach], None],
+        receive: Callable[[int, Sequence[EntryMessage]], None],
+        closed: Callable[[int], None],
+    ) -> None:
+        self._attach = attach
+        self._receive = receive
+        self._closed = closed
+        self._numbers = itertools.count(1)
+        self._outboxes: dict[int, _Outbox[AgentMessage, AgentBatch]] = {}
+        self._server: Server | None = None
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods by path, as grpclib wants them."""
+        handler = Handler(
+            self._serve, Cardinality.STREAM_STREAM, EntryBatch, AgentBatch
+        )
+        return {RUNS_PATH: handler}
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for entries."""
+        self._server = Server([self], codec=MsgpackCodec())
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def send(self, link: int, message: AgentMessage) -> None:
+        """Send a message; it is dropped if the connection has ended."""
+        outbox = self._outboxes.get(link)
+        if outbox is not None:
+            outbox.put(message)
+
+    async def _serve(self, stream: Stream[EntryBatch, AgentBatch]) -> None:
+        link = next(self._numbers)
+        outbox: _Outbox[AgentMessage, AgentBatch] = _Outbox(AgentBatch)
+        self._outboxes[link] = outbox
+        writer = asyncio.create_task(outbox.outgoing.write_to(stream))
+        try:
+            async for batch in stream:
+                self._take(link, batch.messages)
+        except _LOST as exc:
+            LOGGER.info("link-lost", extra={"link": link, "error": repr(exc)})
+        finally:
+            writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError, *_LOST):
+                await writer
+            del self._outboxes[link]
+            self._closed(link)
+
+    def _take(self, link: int, messages: Sequence[EntryMessage]) -> None:
+        if messages and isinstance(messages[0], Attach):
+            self._attach(link, messages[0])
+            messages = messages[1:]
+        self._receive(link, messages)
+
+
+class EntryLinks:
+    """The client side, at an entry.
+
+    :param up: is told that a connection to an agent is open.
+    :param receive: is told the messages of a connection.
+    :param down: is told that a connection ended, or could not be opened.
+    """
+
+    def __init__(
+        self,
+        up: Callable[[str, int], None],
+        receive: Callable[[int, Sequence[AgentMessage]], None],
+        down: Callable[[str, int | None], None],
+    ) -> None:
+        self._up = up
+        self._receive = receive
+        self._down = down
+        self._numbers = itertools.count(1)
+        self._outboxes: dict[int, _Outbox[EntryMessage, EntryBatch]] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+
+    def dial(self, agent: str, address: str) -> None:
+        """Open a connection to an agent."""
+        link = next(self._numbers)
+        task = asyncio.create_task(self._run(agent, address, link))
+        self._tasks[link] = task
+        task.add_done_callback(lambda _: self._tasks.pop(link, None))
+
+    def send(self, link: int, message: EntryMessage) -> None:
+        """Send a message; it is dropped if the connection has ended."""
+        outbox = self._outboxes.get(link)
+        if outbox is not None:
+            outbox.put(message)
+
+    def drop(self, link: int) -> None:
+        """Close a connection."""
+        task = self._tasks.get(link)
+        if task is not None:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, agent: str, address: str, link: int) -> None:
+        host, port = split_address(address)
+        channel = Channel(host, port, codec=MsgpackCodec())
+        opened = False
+        try:
+            method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
+                channel, RUNS_PATH, EntryBatch, AgentBatch
+            )
+            async with method.open() as stream:
+                async with asyncio.timeout(DIAL_TIMEOUT_S):
+                    await stream.send_request()
+                opened = True
+                await self._exchange(agent, link, stream)
+        except _LOST as exc:
+            LOGGER.info(
+                "link-lost", extra={"agent": agent, "error": repr(exc)}
+            )
+        finally:
+            self._outboxes.pop(link, None)
+            channel.close()
+            self._down(agent, link if opened else None)
+
+    async def _exchange(self, agent: str, link: int, stream: Any) -> None:
+        outbox: _Outbox[EntryMessage, EntryBatch] = _Outbox(EntryBatch)
+        self._outboxes[link] = outbox
+        writer = asyncio.create_task(outbox.outgoing.write_to(stream))
+        self._up(agent, link)
+        try:
+            async for batch in stream:
+                self._receive(link, batch.messages)
+        finally:
+            writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError, *_LOST):
+                await writer
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -0,0 +1,142 @@
+"""Keeps a process registered in the store, and reads who is registered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from briarford.exceptions import StoreError
+from briarford.store import Store
+from briarford_daemon.fleet.clock import BootClock
+
+__all__ = ["AGENTS_PREFIX", "Directory", "Registration"]
+
+LOGGER = logging.getLogger("briarford.registry")
+
+AGENTS_PREFIX = "agents/"
+# An entry keeps the agents that it knows for longer than this.
+REGISTRATION_TTL_S = 5.0
+RENEW_PERIOD_S = 1.5
+RETRY_S = 0.3
+CALL_TIMEOUT_S = 0.8  # a call takes 4 ms; slow spells take 50 times as long
+POLL_S = 0.5  # members and configuration are needed within two seconds
+
+
+class Registration:
+    """A key with a lease, restored whenever it is missing.
+
+    :param store: the key-value service.
+    :param key: the key.
+    :param value: its value.
+    :param registered: is told the version of the key once it is written.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: BootClock,
+        key: str,
+        value: bytes,
+        registered: Callable[[int], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._value = value
+        self._registered = registered
+        self._lease = ""
+
+    async def run(self) -> None:
+        """Keep the key until cancelled."""
+        known = True
+        while True:
+            try:
+                await self._renew()
+            except StoreError as exc:
+                if known:
+                    LOGGER.warning("store-lost", extra={"error": exc.message})
+                known = False
+                await asyncio.sleep(RETRY_S)
+                continue
+            if not known:
+                LOGGER.info("store-regained")
+            known = True
+            await asyncio.sleep(RENEW_PERIOD_S)
+
+    async def end(self) -> None:
+        """End the registration."""
+        if not self._lease:
+            return
+        try:
+            await self._store.revoke_lease(self._lease, self._deadline())
+        except StoreError as exc:
+            LOGGER.warning("lease-not-ended", extra={"error": exc.message})
+
+    def _deadline(self) -> float:
+        return self._clock.now() + CALL_TIMEOUT_S
+
+    async def _renew(self) -> None:
+        """Renew the lease, and write the key if it is not there."""
+        if self._lease and not await self._store.renew_lease(
+            self._lease, self._deadline()
+        ):
+            LOGGER.warning("lease-lapsed", extra={"key": self._key})
+            self._lease = ""
+        item = await self._store.get(self._key, self._deadline())
+        if self._lease and item is not None and item.value == self._value:
+            return
+        if not self._lease:
+            self._lease = await self._store.grant_lease(
+                REGISTRATION_TTL_S, self._deadline()
+            )
+        expected = item.version if item is not None else 0
+        found = await self._store.swap(
+            self._key, self._value, expected, self._deadline(), self._lease
+        )
+        if found is not None:
+            return  # another write came first; the next round reads it
+        written = await self._store.get(self._key, self._deadline())
+        if written is not None:
+            LOGGER.info(
+                "registered",
+                extra={"key": self._key, "version": written.version},
+            )
+            self._registered(written.version)
+
+
+class Directory:
+    """Reads the registered agents again and again.
+
+    :param store: the key-value service.
+    :param listed: is told the addresses by name.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: BootClock,
+        listed: Callable[[dict[str, str]], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._listed = listed
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            deadline = self._clock.now() + CALL_TIMEOUT_S
+            try:
+                listing = await self._store.list(AGENTS_PREFIX, deadline)
+            except StoreError as exc:
+                LOGGER.debug("agents-not-read", extra={"error": exc.message})
+            else:
+                self._listed(
+                    {
+                        item.key.removeprefix(AGENTS_PREFIX): (
+                            item.value.decode()
+                        )
+                        for item in listing.items
+                    }
+                )
+            await asyncio.sleep(POLL_S)
--- a/packages/briarford-daemon/src/briarford_daemon/http_server.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_server.py
@@ -7,34 +7,46 @@
 import math
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import uvicorn
 from blacksheep import Application
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["CONNECTED_AT", "TRANSPORT", "HttpServer"]
+__all__ = ["CONNECTED_AT", "ON_CLOSE", "TRANSPORT", "HttpServer"]
 
 CONNECTED_AT = "briarford.connected_at"
 TRANSPORT = "briarford.transport"
+ON_CLOSE = "briarford.on_close"
 STOP_TIMEOUT_S = 1
 BACKLOG = 512
 POLL_S = 0.001
+KEEP_ALIVE_S = 60  # longer than clients keep idle connections
 
 
 class _Protocol(HttpToolsProtocol):
-    """Shows handlers the connection that a request came on."""
+    """Shows handlers the connection that a request came on.
+
+    Handlers may add callbacks for its end to ``ON_CLOSE`` of the scope.
+    """
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         self._connected_at = time.time()
+        self._on_close: set[Callable[[], object]] = set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        for callback in list(self._on_close):
+            callback()
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
         scope: dict[str, Any] = self.scope  # type: ignore[assignment]
         scope[CONNECTED_AT] = self._connected_at
         scope[TRANSPORT] = self.transport
+        scope[ON_CLOSE] = self._on_close
 
 
 class _Server(uvicorn.Server):
@@ -80,6 +92,7 @@
             http=_Protocol,
             lifespan="on",
             log_config=None,
+            timeout_keep_alive=KEEP_ALIVE_S,
             access_log=False,
             proxy_headers=False,
             limit_concurrency=self._connections,
--- a/packages/briarford-daemon/src/briarford_daemon/logs.py
+++ b/packages/briarford-daemon/src/briarford_daemon/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -15,13 +16,14 @@
 DECISIONS = logging.getLogger("briarford.decision")
 
 
-def set_up_logs(level: str, process: str) -> None:
-    """Write all logs as JSON lines to standard error.
+def set_up_logs(level: str, process: str, stream: TextIO = sys.stderr) -> None:
+    """Write all logs as JSON lines.
 
     :param level: debug, info, warning or error.
     :param process: name of the process, in every line.
+    :param stream: where they go.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         JsonFormatter(
             "{created}{levelname}{name}{message}",
--- a/packages/briarford/src/briarford/outcomes.py
+++ b/packages/briarford/src/briarford/outcomes.py
@@ -65,6 +65,7 @@
     VIEW_UNCONFIRMED = "view-unconfirmed"
     HOME_UNREACHABLE = "home-unreachable"
     WORKERS_LOST = "workers-lost"
+    UNSUPPORTED = "unsupported"
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -0,0 +1,114 @@
+"""What an entry knows of each agent and of the runs that it asked for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from briarford.requests.job import StepSpec, Task
+from briarford.runs import Demand, WorkerStatus
+
+__all__ = ["AgentView", "Dispatch", "slowness_of"]
+
+# A task away from its data takes that many times as long at most.
+REMOTE_FACTOR = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class Dispatch:
+    """An order to run a task that has not ended.
+
+    :param task: the task.
+    :param number: number of the order.
+    :param cpu: thousandths of a processor that it takes.
+    :param memory_mb: memory that it takes.
+    :param gpu: accelerators that it takes.
+    """
+
+    task: Task
+    number: int
+    cpu: int
+    memory_mb: int
+    gpu: int
+    sent_at: float
+
+
+@dataclass(slots=True)
+class AgentView:
+    """One agent as an entry sees it.
+
+    :param name: of the agent.
+    :param address: where it listens.
+    :param link: the connection in use; None while there is none.
+    :param connection: number of the latest connection.
+    :param attached: whether the agent has answered on that connection.
+    :param heard_at: when something was last heard of it.
+    :param linked_at: when the connection in use was opened.
+    :param pulse: ``sent_at`` of its latest heartbeat, on its own clock.
+    :param last_number: number of the last end that it told.
+    :param orphans: orders of an agent that is gone, with the time from
+        which they certainly do not run.
+    """
+
+    name: str
+    address: str
+    listed: bool = True
+    link: int | None = None
+    connection: int = 0
+    dialing: bool = False
+    dial_at: float = 0.0
+    attached: bool = False
+    incarnation: str = ""
+    heard_at: float = 0.0
+    linked_at: float = 0.0
+    pulse: float = 0.0
+    last_number: int = 0
+    status: WorkerStatus | None = None
+    offered_cpu: int = 0
+    offered_until: float = 0.0
+    avoided_until: float = 0.0
+    demand: Demand | None = None
+    demand_at: float = 0.0
+    dispatches: dict[int, Dispatch] = field(default_factory=dict)
+    orphans: list[tuple[float, Dispatch]] = field(default_factory=list)
+
+    def usable(self, now: float) -> bool:
+        """Whether runs may be asked of it now."""
+        status = self.status
+        if self.link is None or not self.attached or status is None:
+            return False
+        return status.accepting and now >= self.avoided_until
+
+    def free_cpu(self, now: float) -> int:
+        """Return the free processors, less what is on its way there."""
+        status = self.status
+        if status is None:
+            return 0
+        free = status.free_cpu
+        if now < self.offered_until:
+            free += self.offered_cpu
+        return free - sum(d.cpu for d in self._unseen(status))
+
+    def fits(self, step: StepSpec, now: float) -> bool:
+        """Whether a task of a step has room there."""
+        status = self.status
+        if status is None or step.cpu > self.free_cpu(now):
+            return False
+        unseen = self._unseen(status)
+        memory = status.free_memory_mb - sum(d.memory_mb for d in unseen)
+        gpu = status.free_gpu - sum(d.gpu for d in unseen)
+        return step.memory_mb <= memory and step.gpu <= gpu
+
+    def _unseen(self, status: WorkerStatus) -> list[Dispatch]:
+        """Return the orders that the latest status does not count yet."""
+        last = status.last_dispatch
+        return [d for d in self.dispatches.values() if d.number > last]
+
+
+def slowness_of(view: AgentView, step: StepSpec) -> float:
+    """Return how much longer than estimated a task of a step takes there."""
+    status = view.status
+    if status is None:
+        return 1.0
+    if step.preferred_rack and step.preferred_rack not in status.labels:
+        return status.slowness * REMOTE_FACTOR
+    return status.slowness
--- /dev/null
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -0,0 +1,580 @@
+"""Decides what an entry does with requests and asks of agents."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from briarford.outcomes import (
+    Completed,
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+    Step,
+)
+from briarford.requests.admission import (
+    MIN_RETRY_AFTER_S,
+    DrainRate,
+    estimate_wait_s,
+)
+from briarford.requests.agents import AgentView, Dispatch
+from briarford.requests.effects import (
+    DialAgent,
+    DropLink,
+    EntryEffect,
+    EntryEvent,
+    JobEnded,
+    SendToAgent,
+)
+from briarford.requests.job import (
+    Job,
+    JobRequest,
+    Task,
+    TaskPhase,
+    longest_chain_s,
+    make_job,
+)
+from briarford.requests.placing import choose_agent, may_run_at, utilisation
+from briarford.requests.waiting import WaitingTasks
+from briarford.routes import Route
+from briarford.runs import (
+    AgentMessage,
+    AgentPulse,
+    Attach,
+    Attached,
+    Demand,
+    EntryMessage,
+    EntryPulse,
+    Offer,
+    RunEnd,
+    RunEnded,
+    StartRun,
+    StopRun,
+    WorkerStatus,
+)
+from briarford.runs.agent import LEASE_S, PULSE_PERIOD_S, SESSION_TTL_S
+
+__all__ = ["Dispatcher"]
+
+SILENCE_S = 0.5  # two heartbeats missed: open a new connection
+REDIAL_S = 0.25
+# A silent agent ends the runs of a session after SESSION_TTL_S; if it is
+# gone itself, the worker's lease lapses, on a clock that may be 2% slow.
+GONE_S = LEASE_S * 1.02 + 0.1
+LOST_S = SESSION_TTL_S + GONE_S
+FORGET_AGENT_S = 30.0
+AVOID_S = 0.3  # after an order that an agent could not carry out
+OFFER_USE_S = 0.04  # shorter than the agent holds an offer
+DEMAND_PERIOD_S = 0.1
+MAX_TRIED = 32  # waiting tasks tried for a place in one turn
+REMEMBER_S = 10.0  # repeats of an answered request come within seconds
+
+
+class Dispatcher:
+    """The decisions of one entry, without sockets and clocks.
+
+    :param name: of the entry.
+    :param incarnation: of this process.
+    """
+
+    def __init__(self, name: str, incarnation: str) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.counts: Counter[str] = Counter()
+        self.stop_by: float | None = None
+        self._agents: dict[str, AgentView] = {}
+        self._links: dict[int, AgentView] = {}
+        self._jobs: dict[str, Job] = {}
+        self._answered: dict[str, tuple[float, Outcome]] = {}
+        self._waiting = WaitingTasks()
+        self._drain = DrainRate()
+        self._busy_names: Counter[str] = Counter()
+        self._last_dispatch = 0
+        self._last_connection = 0
+        self._next_pulse = 0.0
+        self._effects: list[EntryEffect] = []
+
+    # -- requests -----------------------------------------------------------
+
+    def submit(
+        self, request: JobRequest, route: Route, now: float
+    ) -> Outcome | None:
+        """Take a request.
+
+        :return: its outcome if that is known at once; None if a
+            :class:`JobEnded` will tell it.
+        """
+        answered = self._answered.get(request.job)
+        if answered is not None:
+            return answered[1]
+        if request.job in self._jobs:
+            return None
+        refused = self._check(request, route, now)
+        if refused is not None:
+            self._log_refusal(request, route, refused, now)
+            return refused
+        job = make_job(request, route, now)
+        self._jobs[request.job] = job
+        self.counts["accepted"] += 1
+        self._log(
+            "accepted",
+            job=request.job,
+            route=route.name,
+            tasks=len(job.tasks),
+            objective_ms=round((job.objective_at - now) * 1000),
+            waiting=len(self._waiting),
+        )
+        self._release_steps(job)
+        if job.done:
+            self._end_job(job, Completed(()), now)
+        return None
+
+    def _check(
+        self, request: JobRequest, route: Route, now: float
+    ) -> Refused | None:
+        if request.unsupported or not request.best_effort:
+            names = ", ".join(request.unsupported) or "stored jobs"
+            return self._refuse(
+                RefusalReason.UNSUPPORTED, f"not available: {names}", None
+            )
+        views = self._views_of(route.service)
+        if not any(v.usable(now) for v in views):
+            return self._refuse(
+                RefusalReason.WORKERS_LOST,
+                f"no worker of '{route.service}' takes tasks now",
+                now + 1.0,
+            )
+        chain_s = longest_chain_s(request.steps)
+        if self.stop_by is not None and now + 2 * chain_s > self.stop_by:
+            return self._refuse(
+                RefusalReason.STOPPING,
+                "the entry stops; another one takes the request",
+                now + MIN_RETRY_AFTER_S,
+            )
+        return self._check_wait(route, chain_s, now)
+
+    def _check_wait(
+        self, route: Route, chain_s: float, now: float
+    ) -> Refused | None:
+        per_s = self._drain.per_s(now)
+        wait_s = estimate_wait_s(self._waiting.work, per_s)
+        slack_s = route.stretch * chain_s + route.target_s - chain_s
+        if wait_s <= slack_s:
+            return None
+        retry_in_s = min(5.0, max(MIN_RETRY_AFTER_S, wait_s - slack_s))
+        return self._refuse(
+            RefusalReason.DEADLINE_UNREACHABLE,
+            "the work that waits already does not leave enough time",
+            now + retry_in_s,
+        )
+
+    def _refuse(
+        self, reason: RefusalReason, detail: str, retry_at: float | None
+    ) -> Refused:
+        return Refused(reason, detail, Step.ADMIT, self.name, retry_at)
+
+    def cancel(self, job_id: str, now: float) -> bool:
+        """Cancel a job whose client has left; False if there is none."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return False
+        failed = Failed(
+            FailureReason.CANCELLED,
+            "the client has left",
+            Step.RUNNING,
+            self.name,
+            may_have_run=job.started,
+        )
+        self._end_job(job, failed, now, remember=False)
+        return True
+
+    def waiting_jobs(self, route: str) -> int:
+        """Return how many jobs of a route have no task started."""
+        return sum(
+            j.route.name == route and not j.started
+            for j in self._jobs.values()
+        )
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs without an outcome."""
+        return len(self._jobs)
+
+    def _release_steps(self, job: Job) -> None:
+        for task in job.tasks:
+            if task.phase is not TaskPhase.BLOCKED:
+                continue
+            if all(job.step_done(n) for n in task.spec.after):
+                task.phase = TaskPhase.WAITING
+                self._waiting.add(task)
+
+    # -- agents -------------------------------------------------------------
+
+    def agents_listed(self, directory: dict[str, str], now: float) -> None:
+        """Take the registered agents, addresses by name."""
+        for name, address in directory.items():
+            view = self._agents.get(name)
+            if view is None:
+                self._agents[name] = AgentView(name, address, heard_at=now)
+                self._log("agent-found", agent=name, address=address)
+            elif view.address != address:
+                self._log("agent-moved", agent=name, address=address)
+                self._close_link(view)
+                view.address = address
+            self._agents[name].listed = True
+        for name, view in self._agents.items():
+            view.listed = name in directory
+
+    def link_up(self, agent: str, link: int, now: float) -> None:
+        """Attach on a connection that was dialed."""
+        view = self._agents.get(agent)
+        if view is None:
+            return
+        self._close_link(view)
+        self._last_connection += 1
+        view.dialing = False
+        view.link = link
+        view.connection = self._last_connection
+        view.attached = False
+        view.linked_at = now
+        self._links[link] = view
+        attach = Attach(
+            self.name, self.incarnation, view.connection, view.pulse
+        )
+        self._send(view, attach)
+
+    def link_down(self, agent: str, link: int | None, now: float) -> None:
+        """Note that a connection ended or could not be opened."""
+        view = self._agents.get(agent)
+        if view is None:
+            return
+        if link is None:
+            view.dialing = False
+            view.dial_at = now + REDIAL_S
+        elif view.link == link:
+            self._log("agent-disconnected", agent=agent)
+            self._close_link(view)
+            view.dial_at = now
+
+    def _close_link(self, view: AgentView) -> None:
+        if view.link is not None:
+            self._links.pop(view.link, None)
+            self._effects.append(DropLink(view.link))
+        view.link = None
+        view.attached = False
+        view.demand = None
+        view.offered_cpu = 0
+
+    def handle(self, link: int, msg: AgentMessage, now: float) -> None:
+        """Take a message of an agent."""
+        view = self._links.get(link)
+        if view is None:
+            return
+        view.heard_at = now
+        match msg:
+            case Attached():
+                self._attached(view, msg, now)
+            case WorkerStatus():
+                view.status = msg
+            case AgentPulse():
+                view.pulse = msg.sent_at
+            case Offer():
+                view.offered_cpu = msg.cpu
+                view.offered_until = now + OFFER_USE_S
+            case RunEnded():
+                self._run_ended(view, msg, now)
+
+    def _attached(self, view: AgentView, msg: Attached, now: float) -> None:
+        view.attached = True
+        view.pulse = msg.sent_at
+        self._send(view, EntryPulse(view.pulse, view.last_number))
+        if msg.incarnation != view.incarnation:
+            if view.incarnation:
+                self._log("agent-restarted", agent=view.name)
+            view.incarnation = msg.incarnation
+            view.last_number = 0
+            view.status = None
+            self._orphan_all(view, now + GONE_S)
+            return
+        held = set(msg.dispatches)
+        for number in [n for n in view.dispatches if n not in held]:
+            dispatch = view.dispatches.pop(number)
+            self._settle(view, dispatch, RunEnd.LOST, now)
+
+    def _orphan_all(self, view: AgentView, settled_at: float) -> None:
+        for dispatch in view.dispatches.values():
+            view.orphans.append((settled_at, dispatch))
+        view.dispatches.clear()
+
+    def _run_ended(self, view: AgentView, msg: RunEnded, now: float) -> None:
+        if msg.number <= view.last_number:
+            return
+        view.last_number = msg.number
+        dispatch = view.dispatches.pop(msg.dispatch, None)
+        if dispatch is not None:
+            self._settle(view, dispatch, msg.how, now)
+
+    def _settle(
+        self, view: AgentView, dispatch: Dispatch, how: RunEnd, now: float
+    ) -> None:
+        """Take the end of a run; it certainly does not run any more."""
+        task = dispatch.task
+        self._busy_names[task.name] -= 1
+        if not self._busy_names[task.name]:
+            del self._busy_names[task.name]
+        self.counts[f"run-{how.value}"] += 1
+        if task.dispatch != dispatch.number or task.job.ended:
+            return
+        task.agent = ""
+        task.phase = TaskPhase.WAITING
+        if how is RunEnd.DONE:
+            self._task_done(task, now)
+            return
+        self._log(
+            "run-not-done", task=task.name, agent=view.name, how=how.value
+        )
+        if how in _FAULTS:
+            task.avoided.add(view.name)
+        if how in _BACK_OFF:
+            view.avoided_until = now + AVOID_S
+        if how in _FAILURES:
+            task.failures += 1
+            if task.failures >= task.job.route.max_attempts:
+                self._task_failed(task, view, now)
+                return
+        self._waiting.add(task)
+
+    def _task_done(self, task: Task, now: float) -> None:
+        task.phase = TaskPhase.DONE
+        job = task.job
+        if job.done:
+            self._end_job(job, Completed(()), now)
+        elif job.step_done(task.step):
+            self._release_steps(job)
+
+    def _task_failed(self, task: Task, view: AgentView, now: float) -> None:
+        detail = f"task {task.name} failed {task.failures} times"
+        failed = Failed(
+            FailureReason.TASK_FAILED, detail, Step.RUNNING, view.name
+        )
+        self._end_job(task.job, failed, now)
+
+    def _end_job(
+        self, job: Job, outcome: Outcome, now: float, remember: bool = True
+    ) -> None:
+        job.ended = True
+        job_id = job.request.job
+        del self._jobs[job_id]
+        for task in job.tasks:
+            if task.phase is TaskPhase.WAITING:
+                if task in self._waiting:
+                    self._waiting.remove(task)
+            elif task.phase is TaskPhase.PLACED:
+                self._stop_run(task)
+        if remember:
+            self._answered[job_id] = (now + REMEMBER_S, outcome)
+        kind = type(outcome).__name__.lower()
+        self.counts[kind] += 1
+        self._log(
+            "job-ended",
+            job=job_id,
+            route=job.route.name,
+            outcome=kind,
+            took_ms=round((now - job.accepted_at) * 1000),
+            objective_ms=round((job.objective_at - job.accepted_at) * 1000),
+        )
+        self._effects.append(JobEnded(job_id, outcome))
+
+    def _stop_run(self, task: Task) -> None:
+        view = self._agents.get(task.agent)
+        if view is not None and task.dispatch in view.dispatches:
+            self._send(view, StopRun(task.dispatch))
+
+    # -- time ---------------------------------------------------------------
+
+    def turn(self, now: float) -> list[EntryEffect]:
+        """Decide, and return the effects to perform."""
+        self._watch_agents(now)
+        self._place_waiting(now)
+        self._tell_demand(now)
+        if now >= self._next_pulse:
+            self._next_pulse = now + PULSE_PERIOD_S
+            self._pulse(now)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def next_deadline(self) -> float | None:
+        """Return when the next turn is due at the latest."""
+        return self._next_pulse
+
+    def _watch_agents(self, now: float) -> None:
+        for view in list(self._agents.values()):
+            silent_s = now - view.heard_at
+            linked_s = now - view.linked_at
+            if view.link is not None and min(silent_s, linked_s) > SILENCE_S:
+                self._log("agent-silent", agent=view.name)
+                self._close_link(view)
+                view.dial_at = now
+            if silent_s > LOST_S:
+                self._lose_agent(view, now)
+            self._settle_orphans(view, now)
+            idle = not view.dispatches and not view.orphans
+            if not view.listed and silent_s > FORGET_AGENT_S and idle:
+                del self._agents[view.name]
+            elif (
+                view.link is None and not view.dialing and now >= view.dial_at
+            ):
+                view.dialing = True
+                self._effects.append(DialAgent(view.name, view.address))
+
+    def _lose_agent(self, view: AgentView, now: float) -> None:
+        if view.dispatches:
+            self._log("agent-lost", agent=view.name, runs=len(view.dispatches))
+        self._orphan_all(view, now)
+
+    def _settle_orphans(self, view: AgentView, now: float) -> None:
+        due = [d for at, d in view.orphans if at <= now]
+        if not due:
+            return
+        view.orphans = [o for o in view.orphans if o[0] > now]
+        for dispatch in due:
+            self._settle(view, dispatch, RunEnd.LOST, now)
+
+    def _views_of(self, service: str) -> list[AgentView]:
+        return [
+            v
+            for v in self._agents.values()
+            if v.status is not None and v.status.service == service
+        ]
+
+    def _place_waiting(self, now: float) -> None:
+        if not len(self._waiting):
+            return
+        views: dict[str, list[AgentView]] = {}
+        tried = 0
+        for task in list(self._waiting.in_order(now)):
+            if tried >= MAX_TRIED:
+                return
+            if self._busy_names[task.name]:
+                continue  # a former run of it has not been settled yet
+            service = task.job.route.service
+            if service not in views:
+                all_views = self._views_of(service)
+                views[service] = [v for v in all_views if v.usable(now)]
+            usable = views[service]
+            view = choose_agent(task, usable, utilisation(usable, now), now)
+            if view is None:
+                tried += 1
+                continue
+            self._place(task, view, now)
+
+    def _place(self, task: Task, view: AgentView, now: float) -> None:
+        self._waiting.remove(task)
+        self._last_dispatch += 1
+        step = task.spec
+        task.phase = TaskPhase.PLACED
+        task.agent = view.name
+        task.dispatch = self._last_dispatch
+        task.last_run = max(task.last_run + 1, int(now * 1000))
+        dispatch = Dispatch(
+            task, task.dispatch, step.cpu, step.memory_mb, step.gpu, now
+        )
+        view.dispatches[task.dispatch] = dispatch
+        view.offered_cpu = max(0, view.offered_cpu - step.cpu)
+        self._busy_names[task.name] += 1
+        self._drain.started(step.cpu * step.expected_s, now)
+        task.job.started = True
+        status = view.status
+        self._log(
+            "placed",
+            task=task.name,
+            run=task.last_run,
+            agent=view.name,
+            slack_ms=round((task.start_by - now) * 1000),
+            slowness=status.slowness if status else None,
+            free_cpu=view.free_cpu(now),
+        )
+        order = StartRun(
+            task.dispatch,
+            task.name,
+            task.last_run,
+            task.job.request.payload,
+            step.cpu,
+            step.memory_mb,
+            step.gpu,
+            step.expected_s,
+        )
+        self._send(view, order)
+
+    def _tell_demand(self, now: float) -> None:
+        """Tell each agent the most urgent waiting task that it may run."""
+        heads = self._heads(now)
+        for view in self._agents.values():
+            if view.link is None or not view.attached:
+                continue
+            task = next((t for t in heads if may_run_at(t, view, now)), None)
+            cpu = task.spec.cpu if task is not None else 0
+            slack_s = (
+                round(task.start_by - now, 3) if task is not None else 0.0
+            )
+            had_cpu = view.demand.cpu if view.demand is not None else 0
+            offered = now < view.offered_until and view.offered_cpu > 0
+            due = now >= view.demand_at + DEMAND_PERIOD_S
+            if cpu == had_cpu and not (cpu and due) and not offered:
+                continue
+            view.demand = Demand(cpu, slack_s)
+            view.demand_at = now
+            view.offered_cpu = 0
+            self._send(view, view.demand)
+
+    def _heads(self, now: float) -> list[Task]:
+        heads = []
+        for task in self._waiting.in_order(now):
+            if not self._busy_names[task.name]:
+                heads.append(task)
+            if len(heads) >= MAX_TRIED:
+                break
+        return heads
+
+    def _pulse(self, now: float) -> None:
+        for view in self._agents.values():
+            if view.link is not None and view.attached:
+                self._send(view, EntryPulse(view.pulse, view.last_number))
+        for job_id, (until, _) in list(self._answered.items()):
+            if until <= now:
+                del self._answered[job_id]
+
+    # -- helpers ------------------------------------------------------------
+
+    @property
+    def can_place(self) -> bool:
+        """Whether any agent answers."""
+        return any(v.attached for v in self._agents.values())
+
+    def _send(self, view: AgentView, message: EntryMessage) -> None:
+        if view.link is not None:
+            self._effects.append(SendToAgent(view.link, message))
+
+    def _log_refusal(
+        self, request: JobRequest, route: Route, refused: Refused, now: float
+    ) -> None:
+        self.counts[f"refused-{refused.reason.value}"] += 1
+        self._log(
+            "refused",
+            job=request.job,
+            route=route.name,
+            reason=refused.reason.value,
+            waiting=len(self._waiting),
+            waiting_core_s=round(self._waiting.work / 1000, 1),
+            drain_cores=round(self._drain.per_s(now) / 1000, 1),
+        )
+
+    def _log(self, action: str, **fields: Any) -> None:
+        self._effects.append(EntryEvent(action, fields))
+
+
+_FAULTS = frozenset({RunEnd.FAILED, RunEnd.STALLED, RunEnd.REJECTED})
+_FAILURES = frozenset({RunEnd.FAILED, RunEnd.REJECTED})
+_BACK_OFF = frozenset({RunEnd.UNAVAILABLE, RunEnd.UNANSWERED})
--- /dev/null
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -0,0 +1,100 @@
+"""Chooses the worker of a task.
+
+Answers two load patterns. With spare capacity the fastest worker takes the
+task. Near capacity fast workers are the scarce part: a task that ends in time
+on a slow worker goes there, and one that does not waits for a fast worker as
+long as it may.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from briarford.requests.agents import AgentView, slowness_of
+from briarford.requests.job import Task
+
+__all__ = ["choose_agent", "may_run_at", "utilisation"]
+
+BUSY_SHARE = 0.5  # of the capacity taken; from here on fast workers are kept
+COMFORT = 0.8  # share of the time left that a run on a slow worker may take
+
+
+def utilisation(views: Sequence[AgentView], now: float) -> float:
+    """Return the share of the capacity that is taken."""
+    total = sum(v.status.cpu for v in views if v.status is not None)
+    if total == 0:
+        return 1.0
+    return 1.0 - sum(max(0, v.free_cpu(now)) for v in views) / total
+
+
+def may_run_at(task: Task, view: AgentView, now: float) -> bool:
+    """Whether an agent's worker may run a task, whatever its load."""
+    status = view.status
+    if status is None or not view.usable(now):
+        return False
+    if status.service != task.job.route.service:
+        return False
+    label = task.spec.required_label
+    if label and label not in status.labels:
+        return False
+    most = task.spec.max_per_worker
+    return not most or _placed_beside(task, view) < most
+
+
+def choose_agent(
+    task: Task, views: Sequence[AgentView], busy: float, now: float
+) -> AgentView | None:
+    """Return the agent that is to run a task now; None if it is to wait.
+
+    :param views: the agents of the service.
+    :param busy: share of the capacity that is taken.
+    """
+    fitting = [
+        v for v in views if v.fits(task.spec, now) and may_run_at(task, v, now)
+    ]
+    if not fitting:
+        return None
+    rested = [v for v in fitting if v.name not in task.avoided]
+    fitting = rested or fitting
+    left_s = task.start_by + task.spec.expected_s - now
+    in_time = [v for v in fitting if _run_s(task, v) <= left_s]
+    if not in_time:
+        return _late_choice(task, fitting, views, now)
+    if busy < BUSY_SHARE:
+        return min(in_time, key=lambda v: (_run_s(task, v), -v.free_cpu(now)))
+    comfortable = [v for v in in_time if _run_s(task, v) <= COMFORT * left_s]
+    if comfortable:
+        return max(
+            comfortable,
+            key=lambda v: (
+                round(slowness_of(v, task.spec), 1),
+                v.free_cpu(now),
+            ),
+        )
+    return min(in_time, key=lambda v: _run_s(task, v))
+
+
+def _late_choice(
+    task: Task,
+    fitting: Sequence[AgentView],
+    views: Sequence[AgentView],
+    now: float,
+) -> AgentView | None:
+    """Choose for a task that no free worker can end in time."""
+    fastest = min(
+        (_run_s(task, v) for v in views if v.usable(now)), default=0.0
+    )
+    left_s = task.start_by + task.spec.expected_s - now
+    if fastest <= left_s:
+        return None  # a fast worker may still become free in time
+    return min(fitting, key=lambda v: _run_s(task, v))
+
+
+def _run_s(task: Task, view: AgentView) -> float:
+    return task.spec.expected_s * slowness_of(view, task.spec)
+
+
+def _placed_beside(task: Task, view: AgentView) -> int:
+    return sum(
+        t.agent == view.name and t.step == task.step for t in task.job.tasks
+    )
--- /dev/null
+++ b/packages/briarford/src/briarford/requests/waiting.py
@@ -0,0 +1,59 @@
+"""The tasks that wait for room, most urgent first.
+
+Answers bursts: tasks that can still end in time go first, by the latest time
+at which they may start. Tasks that are late already run on what is left, so
+that one late job does not make the next ones late.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+
+from briarford.requests.job import Task
+
+__all__ = ["WaitingTasks"]
+
+
+def _key(task: Task) -> float:
+    return task.start_by
+
+
+class WaitingTasks:
+    """Tasks without a worker."""
+
+    __slots__ = ("_tasks", "work")
+
+    def __init__(self) -> None:
+        self._tasks: list[Task] = []
+        self.work = 0.0  # thousandths of a processor times seconds
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def __contains__(self, task: object) -> bool:
+        return any(t is task for t in self._tasks)
+
+    def add(self, task: Task) -> None:
+        """Add a task."""
+        bisect.insort(self._tasks, task, key=_key)
+        self.work += _work(task)
+
+    def remove(self, task: Task) -> None:
+        """Remove a task that is there."""
+        at = bisect.bisect_left(self._tasks, task.start_by, key=_key)
+        while self._tasks[at] is not task:
+            at += 1
+        del self._tasks[at]
+        self.work -= _work(task)
+
+    def in_order(self, now: float) -> Iterator[Task]:
+        """Iterate over a copy: first those that may be in time."""
+        first = bisect.bisect_left(self._tasks, now, key=_key)
+        late = self._tasks[:first]
+        yield from self._tasks[first:]
+        yield from reversed(late)
+
+
+def _work(task: Task) -> float:
+    return task.spec.cpu * task.spec.expected_s
--- /dev/null
+++ b/packages/briarford/src/briarford/runs/__init__.py
@@ -0,0 +1,57 @@
+"""Runs of tasks on a worker, and the messages about them.
+
+An agent orders all runs on its worker. Entries ask it for runs over
+sessions; a session that falls silent ends its runs.
+"""
+
+from briarford.runs.agent import RunAgent
+from briarford.runs.messages import (
+    AgentBatch,
+    AgentMessage,
+    AgentPulse,
+    Attach,
+    Attached,
+    Demand,
+    EntryBatch,
+    EntryMessage,
+    EntryPulse,
+    Offer,
+    RunEnd,
+    RunEnded,
+    StartRun,
+    StopRun,
+    WorkerStatus,
+)
+from briarford.runs.worker import (
+    Capacity,
+    EndedRow,
+    OrderResult,
+    RunListing,
+    RunningRow,
+    WorkerReport,
+)
+
+__all__ = [
+    "AgentBatch",
+    "AgentMessage",
+    "AgentPulse",
+    "Attach",
+    "Attached",
+    "Capacity",
+    "Demand",
+    "EndedRow",
+    "EntryBatch",
+    "EntryMessage",
+    "EntryPulse",
+    "Offer",
+    "OrderResult",
+    "RunAgent",
+    "RunEnd",
+    "RunEnded",
+    "RunListing",
+    "RunningRow",
+    "StartRun",
+    "StopRun",
+    "WorkerReport",
+    "WorkerStatus",
+]
--- /dev/null
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -0,0 +1,578 @@
+"""Decides what an agent orders at its worker and tells entries."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from briarford.runs.health import WorkerHealth
+from briarford.runs.messages import (
+    AgentMessage,
+    AgentPulse,
+    Attach,
+    Attached,
+    Demand,
+    EntryMessage,
+    EntryPulse,
+    Offer,
+    RunEnd,
+    RunEnded,
+    StartRun,
+    StopRun,
+    WorkerStatus,
+)
+from briarford.runs.rooms import Rooms
+from briarford.runs.state import Run, RunPhase, Session
+from briarford.runs.worker import (
+    Capacity,
+    EndedRow,
+    OrderResult,
+    RunListing,
+    WorkerReport,
+)
+
+__all__ = [
+    "LEASE_S",
+    "PULSE_PERIOD_S",
+    "SESSION_TTL_S",
+    "AgentEffect",
+    "AgentEvent",
+    "PlaceOrder",
+    "RunAgent",
+    "SendToEntry",
+    "WithdrawRun",
+]
+
+# An entry whose client repeats a request after a broken connection does so
+# 1.3 s later at another entry: its runs must have ended by then.
+SESSION_TTL_S = 0.9
+PULSE_PERIOD_S = 0.2  # four heartbeats may be lost within SESSION_TTL_S
+LEASE_S = 1.0  # longest lease that workers grant
+CLOCK_DRIFT = 1.02  # a worker's clock may be 2% slow
+LEASE_SLACK_S = 0.05  # for the way of the order and rounding
+# Without an answer for so long the lease is left to lapse.
+SILENCE_S = 0.6
+STALL_S = 0.7  # a healthy task of under a minute gains 1% in that time
+FORGET_SESSION_S = 30.0
+
+_LOST_ENDS = frozenset({"lapsed", "broken", "alone"})
+
+
+@dataclass(slots=True, frozen=True)
+class PlaceOrder:
+    """Order the worker to start a run; the result goes to the agent."""
+
+    key: int
+    task: str
+    run: int
+    payload: str
+
+
+@dataclass(slots=True, frozen=True)
+class WithdrawRun:
+    """Order the worker to stop a run, until it answers."""
+
+    key: int
+    task: str
+    run: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendToEntry:
+    """Send a message on a connection."""
+
+    link: int
+    message: AgentMessage
+
+
+@dataclass(slots=True, frozen=True)
+class AgentEvent:
+    """A decision to be logged."""
+
+    action: str
+    fields: dict[str, Any]
+
+
+AgentEffect = PlaceOrder | WithdrawRun | SendToEntry | AgentEvent
+
+
+class RunAgent:
+    """The agent of one worker, without sockets and clocks.
+
+    :param name: of the agent.
+    :param incarnation: of this process.
+    """
+
+    def __init__(self, name: str, incarnation: str) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.counts: Counter[str] = Counter()
+        self.worker: WorkerReport | None = None
+        self.last_seen = 0
+        self.stopping = False
+        self.has_token = False
+        self._rooms = Rooms(Capacity(0, 0, 0))
+        self._health = WorkerHealth()
+        self._sessions: dict[str, Session] = {}
+        self._links: dict[int, Session] = {}
+        self._runs: dict[int, Run] = {}
+        self._by_task: dict[tuple[str, int], Run] = {}
+        self._last_key = 0
+        self._answered_at = 0.0
+        self._lease_end = 0.0
+        self._next_pulse = 0.0
+        self._settled = False
+        self._effects: list[AgentEffect] = []
+
+    # -- the worker ---------------------------------------------------------
+
+    def worker_reported(self, report: WorkerReport, now: float) -> None:
+        """Take a heartbeat of the worker."""
+        former = self.worker
+        if former is not None and report.born_ms < former.born_ms:
+            return  # delayed report of an earlier boot
+        if former is None or _boot(former) != _boot(report):
+            self._replace_worker(report, now)
+        elif report.sequence < former.sequence:
+            return
+        elif report.draining != former.draining:
+            self._log("worker-state", draining=report.draining)
+        self.worker = report
+        self._rooms.capacity = report.capacity
+
+    def worker_left(self, worker: str, now: float) -> None:
+        """Take the sign-off of a worker; nothing runs on it any more."""
+        if self.worker is None or self.worker.worker != worker:
+            return
+        self._log("worker-left", worker=worker)
+        self._end_all(RunEnd.LOST, now)
+        self.worker = None
+        self._settled = False
+
+    def _replace_worker(self, report: WorkerReport, now: float) -> None:
+        self._log(
+            "worker-joined",
+            worker=report.worker,
+            service=report.service,
+            cpu=report.capacity.cpu,
+        )
+        self._end_all(RunEnd.LOST, now)
+        self._health = WorkerHealth()
+        self._rooms = Rooms(report.capacity)
+        self.last_seen = 0
+        self._settled = False
+        self._answered_at = now
+        self._lease_end = 0.0
+
+    def may_extend_lease(self, now: float) -> bool:
+        """Whether the next call to the worker may renew its lease."""
+        return now - self._answered_at < SILENCE_S
+
+    def lease_extended(self, now: float) -> None:
+        """Note that a call that renews the lease is being sent."""
+        end = now + LEASE_S * CLOCK_DRIFT + LEASE_SLACK_S
+        self._lease_end = max(self._lease_end, end)
+
+    def listing_received(
+        self, listing: RunListing, requested_at: float, now: float
+    ) -> None:
+        """Take the worker's lists, asked for at ``requested_at``."""
+        if self.worker is None or listing.born_ms != self.worker.born_ms:
+            return
+        self._answered_at = now
+        for row in sorted(listing.ended, key=lambda r: r.number):
+            if row.number > self.last_seen:
+                self.last_seen = row.number
+                self._take_end(row, now)
+        listed = set()
+        for running in listing.running:
+            listed.add((running.task, running.run))
+            self._take_progress(
+                running.task, running.run, running.percent, now
+            )
+        for ident, run in list(self._by_task.items()):
+            if ident in listed or not _must_be_listed(run, requested_at):
+                continue
+            end = run.end if run.withdrawn_at else RunEnd.LOST
+            self._end(run, end, now)
+        self._settled = True
+
+    def _take_end(self, row: EndedRow, now: float) -> None:
+        run = self._by_task.get((row.task, row.run))
+        if run is None:
+            return
+        ran_s = max(0.0, now - (run.started_at or run.ordered_at))
+        if row.how == "done":
+            self._health.succeeded(ran_s, run.expected_s)
+            self._end(run, RunEnd.DONE, now, ran_s)
+        elif row.how == "failed":
+            self._note_failure(run, now)
+            self._end(run, RunEnd.FAILED, now, ran_s)
+        elif row.how in _LOST_ENDS:
+            self._end(run, RunEnd.LOST, now, ran_s)
+        else:
+            self._end(run, run.end, now, ran_s)
+
+    def _take_progress(
+        self, task: str, number: int, percent: int, now: float
+    ) -> None:
+        run = self._by_task.get((task, number))
+        if run is None:
+            self._log("unknown-run", task=task, run=number)
+            self._effects.append(WithdrawRun(0, task, number))
+            return
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.RUNNING
+            run.started_at = run.progressed_at = now
+        if percent != run.percent:
+            run.percent = percent
+            run.progressed_at = now
+
+    def _note_failure(self, run: Run, now: float) -> None:
+        job = run.task.partition(".")[0]
+        if self._health.failed(job, now):
+            self._log(
+                "worker-suspended",
+                until=round(self._health.suspended_until, 2),
+            )
+
+    def order_answered(
+        self, key: int, result: OrderResult, now: float
+    ) -> None:
+        """Take the answer to an order to start a run."""
+        run = self._runs.get(key)
+        if result is not OrderResult.UNANSWERED:
+            self._answered_at = max(self._answered_at, now)
+        if run is None:
+            return
+        if result is OrderResult.STARTED:
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.RUNNING
+                run.started_at = run.progressed_at = now
+            return
+        if result is OrderResult.UNANSWERED:
+            if run.phase is RunPhase.ORDERED:
+                self._stop(run, RunEnd.UNANSWERED)
+            return
+        self._log("order-rejected", task=run.task, reason=result.value)
+        if run.phase is RunPhase.RUNNING:
+            return  # a list has shown it meanwhile
+        self._end(run, _REJECTIONS[result], now)
+
+    def stop_answered(self, key: int, now: float) -> None:
+        """Take the answer to an order to stop a run.
+
+        A run that was there stops within some time and is listed as ended
+        then. One that was not there is refused by the worker from now on,
+        which the next listing shows.
+        """
+        run = self._runs.get(key)
+        self._answered_at = max(self._answered_at, now)
+        if run is not None:
+            run.withdrawn_at = now
+
+    # -- sessions -----------------------------------------------------------
+
+    def attach(self, link: int, msg: Attach, now: float) -> None:
+        """Open or resume the session of an entry on a connection."""
+        session = self._sessions.get(msg.entry)
+        if session is not None and session.incarnation != msg.incarnation:
+            self._stop_all(session, "entry-restarted")
+            self._drop_link(session)
+            session = None
+        if session is None:
+            session = Session(
+                msg.entry, msg.incarnation, link, msg.connection, 0.0
+            )
+            self._sessions[msg.entry] = session
+            self._log("session-opened", entry=msg.entry)
+        elif msg.connection <= session.connection:
+            return
+        self._drop_link(session)
+        session.link = link
+        session.connection = msg.connection
+        session.held_until = max(session.held_until, msg.echo + SESSION_TTL_S)
+        session.status_sent = None
+        session.demand = None
+        self._links[link] = session
+        held = [*session.runs, *(e.dispatch for e in session.ended)]
+        attached = Attached(self.name, self.incarnation, tuple(held), now)
+        self._send(session, attached)
+        for end in session.ended:
+            self._send(session, end)
+
+    def link_closed(self, link: int) -> None:
+        """Note that a connection has ended; the session may resume."""
+        session = self._links.pop(link, None)
+        if session is not None and session.link == link:
+            session.link = None
+            session.demand = None
+            self._rooms.settle_offer(session.entry)
+
+    def handle(self, link: int, msg: EntryMessage, now: float) -> None:
+        """Take a message of an attached entry."""
+        session = self._links.get(link)
+        if session is None or session.link != link:
+            return
+        match msg:
+            case EntryPulse():
+                held_until = msg.echo + SESSION_TTL_S
+                session.held_until = max(session.held_until, held_until)
+                session.ended = [
+                    e for e in session.ended if e.number > msg.acked
+                ]
+            case StartRun():
+                session.last_dispatch = msg.dispatch
+                self._start(session, msg, now)
+            case StopRun():
+                run = session.runs.get(msg.dispatch)
+                if run is not None:
+                    self._stop(run, RunEnd.STOPPED)
+            case Demand():
+                session.demand = msg if msg.cpu else None
+                session.start_by = now + msg.slack_s
+                self._rooms.settle_offer(session.entry)
+            case Attach():
+                pass
+
+    def _start(self, session: Session, msg: StartRun, now: float) -> None:
+        need = Capacity(msg.cpu, msg.memory_mb, msg.gpu)
+        run = Run(
+            0,
+            session,
+            msg.dispatch,
+            msg.task,
+            msg.run,
+            msg.payload,
+            need,
+            msg.expected_s,
+            now,
+        )
+        held = now <= session.held_until
+        if not held or not self.accepting(now) or self._is_known(run):
+            self._report(run, RunEnd.UNAVAILABLE, 0.0)
+            return
+        fits = self._rooms.fits(need, session.entry, now)
+        self._rooms.settle_offer(session.entry)
+        if not fits:
+            self._report(run, RunEnd.NO_ROOM, 0.0)
+            return
+        self._last_key += 1
+        run.key = self._last_key
+        self._runs[run.key] = run
+        self._by_task[run.task, run.run] = run
+        session.runs[run.dispatch] = run
+        self._rooms.take(need)
+        self.counts["ordered"] += 1
+        self._effects.append(
+            PlaceOrder(run.key, run.task, run.run, run.payload)
+        )
+
+    def _is_known(self, run: Run) -> bool:
+        return any(r.task == run.task for r in self._runs.values())
+
+    def accepting(self, now: float) -> bool:
+        """Whether the worker takes new runs now."""
+        worker = self.worker
+        if worker is None or worker.draining or not self._settled:
+            return False
+        if self.stopping or not self.has_token:
+            return False
+        if self._health.is_suspended(now):
+            return False
+        if self._health.on_probation and self._runs:
+            return False
+        return self.may_extend_lease(now)
+
+    # -- ends ---------------------------------------------------------------
+
+    def _stop(self, run: Run, end: RunEnd) -> None:
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.end = end
+        self._effects.append(WithdrawRun(run.key, run.task, run.run))
+
+    def _stop_all(self, session: Session, reason: str) -> None:
+        if session.runs:
+            self._log(reason, entry=session.entry, runs=len(session.runs))
+        for run in list(session.runs.values()):
+            self._stop(run, RunEnd.STOPPED)
+
+    def _end_all(self, end: RunEnd, now: float) -> None:
+        for run in list(self._runs.values()):
+            self._end(run, end, now)
+
+    def _end(
+        self, run: Run, end: RunEnd, now: float, ran_s: float = 0.0
+    ) -> None:
+        if self._runs.pop(run.key, None) is None:
+            return
+        self._by_task.pop((run.task, run.run), None)
+        run.session.runs.pop(run.dispatch, None)
+        self._rooms.release(run.need)
+        self._report(run, end, ran_s)
+
+    def _report(self, run: Run, end: RunEnd, ran_s: float) -> None:
+        session = run.session
+        self.counts[end.value] += 1
+        session.last_number += 1
+        ended = RunEnded(session.last_number, run.dispatch, end, ran_s)
+        session.ended.append(ended)
+        self._send(session, ended)
+        self._log(
+            "run-ended",
+            task=run.task,
+            run=run.run,
+            entry=session.entry,
+            how=end.value,
+            ran_ms=round(ran_s * 1000),
+            percent=run.percent,
+        )
+
+    # -- time ---------------------------------------------------------------
+
+    def turn(self, now: float) -> list[AgentEffect]:
+        """Decide, and return the effects to perform."""
+        self._expire_sessions(now)
+        self._expire_lease(now)
+        self._stop_stalled(now)
+        self._make_offers(now)
+        self._send_status(now)
+        if now >= self._next_pulse:
+            self._next_pulse = now + PULSE_PERIOD_S
+            for session in self._sessions.values():
+                self._send(session, AgentPulse(now))
+        effects, self._effects = self._effects, []
+        return effects
+
+    def next_deadline(self) -> float | None:
+        """Return when the next turn is due at the latest."""
+        expiry = self._rooms.next_expiry()
+        if expiry is None:
+            return self._next_pulse
+        return min(expiry, self._next_pulse)
+
+    def _expire_sessions(self, now: float) -> None:
+        for session in list(self._sessions.values()):
+            if now <= session.held_until:
+                continue
+            self._stop_all(session, "session-expired")
+            gone = session.link is None and not session.runs
+            if gone and now > session.held_until + FORGET_SESSION_S:
+                del self._sessions[session.entry]
+
+    def _expire_lease(self, now: float) -> None:
+        if not self._runs or self.may_extend_lease(now):
+            return
+        if now > self._lease_end:
+            self._log("worker-silent", runs=len(self._runs))
+            self._end_all(RunEnd.LOST, now)
+
+    def _stop_stalled(self, now: float) -> None:
+        if not self.may_extend_lease(now):
+            return
+        for run in list(self._runs.values()):
+            if run.phase is not RunPhase.RUNNING:
+                continue
+            if now - run.progressed_at > STALL_S + run.expected_s * 0.02:
+                self._note_failure(run, now)
+                self._stop(run, RunEnd.STALLED)
+
+    def _make_offers(self, now: float) -> None:
+        if not self.accepting(now):
+            return
+        waiting = [
+            s
+            for s in self._sessions.values()
+            if s.link is not None
+            and s.demand is not None
+            and not self._rooms.has_offer(s.entry)
+        ]
+        for session in sorted(waiting, key=lambda s: s.start_by):
+            free = self._rooms.free_cpu(now)
+            need = session.demand.cpu if session.demand else 0
+            if need > free:
+                return
+            cpu = need if free >= 2 * need else free
+            self._rooms.offer(session.entry, cpu, now)
+            self._send(session, Offer(cpu))
+
+    def _send_status(self, now: float) -> None:
+        for session in self._sessions.values():
+            if session.link is None:
+                continue
+            status = self._status(session, now)
+            if status != session.status_sent:
+                session.status_sent = status
+                self._send(session, status)
+
+    def _status(self, session: Session, now: float) -> WorkerStatus:
+        worker = self.worker
+        if worker is None:
+            return WorkerStatus("", "", "", (), False, 0, 0, 0, 0, 1.0, 0)
+        return WorkerStatus(
+            worker.worker,
+            worker.service,
+            worker.zone,
+            worker.labels,
+            self.accepting(now),
+            worker.capacity.cpu,
+            self._rooms.free_cpu(now),
+            self._rooms.free_memory,
+            self._rooms.free_gpu,
+            round(self._health.slowness, 2),
+            session.last_dispatch,
+        )
+
+    def drained(self) -> bool:
+        """Whether nothing runs here."""
+        return not self._runs
+
+    def is_open(self, key: int) -> bool:
+        """Whether a run has not ended."""
+        return key in self._runs
+
+    @property
+    def settled(self) -> bool:
+        """Whether the runs of the worker are known."""
+        return self._settled
+
+    # -- helpers ------------------------------------------------------------
+
+    def _drop_link(self, session: Session) -> None:
+        if session.link is not None:
+            self._links.pop(session.link, None)
+            session.link = None
+        self._rooms.settle_offer(session.entry)
+
+    def _send(self, session: Session, message: AgentMessage) -> None:
+        if session.link is not None:
+            self._effects.append(SendToEntry(session.link, message))
+
+    def _log(self, action: str, **fields: Any) -> None:
+        self.counts[action] += 1
+        self._effects.append(AgentEvent(action, fields))
+
+
+def _boot(report: WorkerReport) -> tuple[str, int]:
+    return report.worker, report.born_ms
+
+
+def _must_be_listed(run: Run, requested_at: float) -> bool:
+    """Whether a run not in a listing of that time has ended."""
+    if run.withdrawn_at:
+        return run.withdrawn_at < requested_at
+    return bool(run.started_at) and run.started_at < requested_at
+
+
+_REJECTIONS = {
+    OrderResult.FENCED: RunEnd.UNAVAILABLE,
+    OrderResult.OUTDATED: RunEnd.UNAVAILABLE,
+    OrderResult.LATE: RunEnd.UNAVAILABLE,
+    OrderResult.NO_ROOM: RunEnd.NO_ROOM,
+    OrderResult.BUSY: RunEnd.UNAVAILABLE,
+    OrderResult.INVALID: RunEnd.REJECTED,
+    OrderResult.OTHER_BOOT: RunEnd.LOST,
+}
--- /dev/null
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -0,0 +1,80 @@
+"""What an agent keeps of sessions and runs."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from briarford.runs.messages import Demand, RunEnd, RunEnded, WorkerStatus
+from briarford.runs.worker import Capacity
+
+__all__ = ["Run", "RunPhase", "Session"]
+
+
+class RunPhase(enum.Enum):
+    """Where a run is on its way."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Run:
+    """A run that holds capacity of the worker.
+
+    :param key: number of the run at this agent.
+    :param session: the session that asked for it.
+    :param dispatch: number of the order at the entry.
+    :param task: name of the task.
+    :param run: number of the run.
+    :param payload: what the worker gets.
+    :param need: what it holds of the capacity.
+    :param expected_s: estimated seconds of work at nominal speed.
+    :param ordered_at: when the order was sent to the worker.
+    :param progressed_at: when its percentage last changed.
+    :param withdrawn_at: when the worker answered the order to stop it.
+    :param end: what to report when it has stopped.
+    """
+
+    key: int
+    session: Session
+    dispatch: int
+    task: str
+    run: int
+    payload: str
+    need: Capacity
+    expected_s: float
+    ordered_at: float
+    phase: RunPhase = RunPhase.ORDERED
+    started_at: float = 0.0
+    percent: int = 0
+    progressed_at: float = 0.0
+    withdrawn_at: float = 0.0
+    end: RunEnd = RunEnd.STOPPED
+
+
+@dataclass(slots=True)
+class Session:
+    """What the agent knows of one incarnation of an entry.
+
+    :param entry: name of the entry.
+    :param incarnation: of the entry.
+    :param link: the connection in use; None while there is none.
+    :param connection: number of that connection.
+    :param held_until: its runs are stopped unless it is heard of by then.
+    :param ended: ends that the entry has not acknowledged.
+    """
+
+    entry: str
+    incarnation: str
+    link: int | None
+    connection: int
+    held_until: float
+    last_dispatch: int = 0
+    last_number: int = 0
+    ended: list[RunEnded] = field(default_factory=list)
+    runs: dict[int, Run] = field(default_factory=dict)
+    demand: Demand | None = None
+    start_by: float = 0.0
+    status_sent: WorkerStatus | None = None
