Let a restarted agent use its worker at once

Change: the agent's record in the store holds its worker; a new process asks that worker for its lists, which confirm it, and takes runs once they show nothing of others. Entries then settle the former runs. Agents are looked for ten times a second in the first three seconds of an entry. The fencing token stays for the life of a process unless the worker has seen a higher one. Ruled out: keeping the worker in a file; nothing on the VM outlives a process.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import secrets
 from collections.abc import Coroutine, Sequence
@@ -27,7 +28,7 @@
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.driver import TurnDriver
 from briarford_daemon.fleet.links import AgentLinks
-from briarford_daemon.fleet.registry import AGENTS_PREFIX, Registration
+from briarford_daemon.fleet.registry import AgentRecord, Registration
 from briarford_daemon.fleet.settings import FleetSettings
 
 __all__ = ["FleetAgent", "WorkerPort"]
@@ -88,14 +89,16 @@
         self._clock = BootClock()
         self.core = RunAgent(cfg.name, secrets.token_hex(4))
         self._token = 0
+        self._fenced = False
         self._links = AgentLinks(self._attach, self._receive, self._closed)
         self._tasks: set[asyncio.Task[None]] = set()
         self._driver: TurnDriver[AgentEffect] | None = None
         self._registration = Registration(
             store,
             self._clock,
-            AGENTS_PREFIX + cfg.name,
-            f"{cfg.ip}:{cfg.rpc_port}".encode(),
+            cfg.name,
+            self._record,
+            self._recalled,
             self._registered,
         )
         self._reported = asyncio.Event()
@@ -140,8 +143,27 @@
         self.core.worker_left(worker, self._clock.now())
         self._wake()
 
+    def _record(self) -> AgentRecord:
+        worker = self.core.worker
+        if worker is not None:
+            worker = dataclasses.replace(worker, clock_ms=0, sequence=0)
+        return AgentRecord(f"{self._cfg.ip}:{self._cfg.rpc_port}", worker)
+
+    def _recalled(self, record: AgentRecord) -> None:
+        if record.worker is not None:
+            self.core.worker_recalled(record.worker, self._clock.now())
+            self._reported.set()
+            self._wake()
+
     def _registered(self, version: int) -> None:
-        self._token = version
+        """Take the version of the record as the fencing token.
+
+        A process keeps its token, so that its orders do not fence each
+        other, until the worker has seen a higher one.
+        """
+        if not self._token or self._fenced:
+            self._token = version
+            self._fenced = False
         self.core.has_token = True
         self._wake()
 
@@ -190,6 +212,9 @@
             return
         self.core.lease_extended(self._clock.now())
         result = await self._port.start_run(worker, order, self._token)
+        if result is OrderResult.FENCED:
+            self._fenced = True
+            self._registration.renew_version()
         self.core.order_answered(order.key, result, self._clock.now())
         self._wake()
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -6,11 +6,14 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from briarford.exceptions import StoreError
-from briarford.store import Store
+from briarford.runs import WorkerReport
+from briarford.store import Listing, Store
 from briarford_daemon.fleet.clock import BootClock
 
-__all__ = ["AGENTS_PREFIX", "Directory", "Registration"]
+__all__ = ["AGENTS_PREFIX", "AgentRecord", "Directory", "Registration"]
 
 LOGGER = logging.getLogger("briarford.registry")
 
@@ -20,15 +23,31 @@
 RENEW_PERIOD_S = 1.5
 RETRY_S = 0.3
 CALL_TIMEOUT_S = 0.8  # a call takes 4 ms; slow spells take 50 times as long
+# After a common start agents register within the first seconds.
+EARLY_S = 3.0
+EARLY_POLL_S = 0.1
 POLL_S = 0.5  # members and configuration are needed within two seconds
 
 
+class AgentRecord(msgspec.Struct, frozen=True):
+    """What is stored of an agent.
+
+    :param address: where entries reach it.
+    :param worker: its worker, so that the next process of the agent need not
+        wait for a heartbeat; without the clock and the sequence number.
+    """
+
+    address: str
+    worker: WorkerReport | None = None
+
+
 class Registration:
-    """A key with a lease, restored whenever it is missing.
+    """An agent's key with a lease, restored whenever it is missing.
 
     :param store: the key-value service.
-    :param key: the key.
-    :param value: its value.
+    :param name: name of the agent.
+    :param record: returns what is to be stored.
+    :param recalled: is told what a former process has stored.
     :param registered: is told the version of the key once it is written.
     """
 
@@ -36,16 +55,23 @@
         self,
         store: Store,
         clock: BootClock,
-        key: str,
-        value: bytes,
+        name: str,
+        record: Callable[[], AgentRecord],
+        recalled: Callable[[AgentRecord], None],
         registered: Callable[[int], None],
     ) -> None:
         self._store = store
         self._clock = clock
-        self._key = key
-        self._value = value
+        self._key = AGENTS_PREFIX + name
+        self._record = record
+        self._recalled = recalled
         self._registered = registered
         self._lease = ""
+        self._outdated = False
+
+    def renew_version(self) -> None:
+        """Have the key written again, which gives it a higher version."""
+        self._outdated = True
 
     async def run(self) -> None:
         """Keep the key until cancelled."""
@@ -84,7 +110,11 @@
             LOGGER.warning("lease-lapsed", extra={"key": self._key})
             self._lease = ""
         item = await self._store.get(self._key, self._deadline())
-        if self._lease and item is not None and item.value == self._value:
+        if not self._lease and item is not None:
+            self._recall(item.value)
+        value = msgspec.json.encode(self._record())
+        kept = self._lease and not self._outdated
+        if kept and item is not None and item.value == value:
             return
         if not self._lease:
             self._lease = await self._store.grant_lease(
@@ -92,7 +122,7 @@
             )
         expected = item.version if item is not None else 0
         found = await self._store.swap(
-            self._key, self._value, expected, self._deadline(), self._lease
+            self._key, value, expected, self._deadline(), self._lease
         )
         if found is not None:
             return  # another write came first; the next round reads it
@@ -102,8 +132,17 @@
                 "registered",
                 extra={"key": self._key, "version": written.version},
             )
+            self._outdated = False
             self._registered(written.version)
 
+    def _recall(self, value: bytes) -> None:
+        try:
+            record = msgspec.json.decode(value, type=AgentRecord)
+        except msgspec.DecodeError as exc:
+            LOGGER.warning("record-unreadable", extra={"error": str(exc)})
+        else:
+            self._recalled(record)
+
 
 class Directory:
     """Reads the registered agents again and again.
@@ -121,6 +160,7 @@
         self._store = store
         self._clock = clock
         self._listed = listed
+        self._started_at = clock.now()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -131,12 +171,21 @@
             except StoreError as exc:
                 LOGGER.debug("agents-not-read", extra={"error": exc.message})
             else:
-                self._listed(
-                    {
-                        item.key.removeprefix(AGENTS_PREFIX): (
-                            item.value.decode()
-                        )
-                        for item in listing.items
-                    }
-                )
-            await asyncio.sleep(POLL_S)
+                self._listed(_addresses(listing))
+            early = self._clock.now() < self._started_at + EARLY_S
+            await asyncio.sleep(EARLY_POLL_S if early else POLL_S)
+
+
+def _addresses(listing: Listing) -> dict[str, str]:
+    addresses = {}
+    for item in listing.items:
+        try:
+            record = msgspec.json.decode(item.value, type=AgentRecord)
+        except msgspec.DecodeError as exc:
+            LOGGER.warning(
+                "record-unreadable",
+                extra={"key": item.key, "error": str(exc)},
+            )
+            continue
+        addresses[item.key.removeprefix(AGENTS_PREFIX)] = record.address
+    return addresses
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -128,6 +128,13 @@
         self.dispatches.clear()
         self.unseen_cpu = self.unseen_memory_mb = self.unseen_gpu = 0
 
+    def settle_orphans(self, now: float) -> None:
+        """Note that nothing of a former agent runs on the worker.
+
+        A new agent takes runs only once its worker lists none of others.
+        """
+        self.orphans = [(min(at, now), d) for at, d in self.orphans]
+
     def _count(self, dispatch: Dispatch, sign: int) -> None:
         self.unseen_cpu += sign * dispatch.cpu
         self.unseen_memory_mb += sign * dispatch.memory_mb
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -65,7 +65,7 @@
 __all__ = ["Dispatcher"]
 
 SILENCE_S = 0.5  # two heartbeats missed: open a new connection
-REDIAL_S = 0.25
+REDIAL_S = 0.1  # a restarted process is back within half a second
 # A silent agent ends the runs of a session after SESSION_TTL_S; if it is
 # gone itself, the worker's lease lapses, on a clock that may be 2% slow.
 GONE_S = LEASE_S * 1.02 + 0.1
@@ -299,6 +299,8 @@
                 self._attached(view, msg, now)
             case WorkerStatus():
                 view.take_status(msg)
+                if msg.accepting:
+                    view.settle_orphans(now)
             case AgentPulse():
                 view.pulse = msg.sent_at
             case Offer():
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -145,6 +145,14 @@
         self.worker = report
         self._rooms.capacity = report.capacity
 
+    def worker_recalled(self, report: WorkerReport, now: float) -> None:
+        """Take what a former process of this agent knew of the worker.
+
+        Its lists confirm it; a heartbeat replaces it.
+        """
+        if self.worker is None:
+            self.worker_reported(report, now)
+
     def worker_left(self, worker: str, now: float) -> None:
         """Take the sign-off of a worker; nothing runs on it any more."""
         if self.worker is None or self.worker.worker != worker:
@@ -201,7 +209,8 @@
                 continue
             end = run.end if run.withdrawn_at else RunEnd.LOST
             self._end(run, end, now)
-        self._settled = True
+        known = all((r.task, r.run) in self._by_task for r in listing.running)
+        self._settled = self._settled or known
 
     def _take_end(self, row: EndedRow, now: float) -> None:
         run = self._by_task.get((row.task, row.run))
@@ -558,7 +567,7 @@
 
     @property
     def settled(self) -> bool:
-        """Whether the runs of the worker are known."""
+        """Whether the worker runs nothing that this agent did not order."""
         return self._settled
 
     # -- helpers ------------------------------------------------------------
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -220,3 +220,33 @@
     assert isinstance(world.outcomes["new"][1], Completed)
     assert isinstance(world.outcomes["old"][1], Completed)
     assert not world.overlaps()
+
+
+def test_a_new_agent_takes_runs_once_nothing_of_the_former_is_left():
+    world = make_world(count=1, entries=1)
+    node = world.agents["a0"]
+    world.submit(world.entries["e0"], request("j", work_s=3.0))
+    world.run(0.3)
+    world.kill(node)
+    world.run(0.05)
+    world.restart_agent(node)
+    world.run(0.2)
+    assert node.core.accepting(world.now)
+    world.run(5.0)
+    assert not world.overlaps()
+    assert isinstance(world.outcomes["j"][1], Completed)
+    # Sooner than the lease of the former runs would have ended.
+    assert world.outcomes["j"][0] < 1001.0 + 0.3 + 0.9 + 3.0
+
+
+def test_a_recalled_worker_is_used_before_its_next_heartbeat():
+    world = make_world(count=1, entries=1)
+    node = world.agents["a0"]
+    recalled = world.workers["a0"].report(world.now)
+    world.kill(node)
+    world.run(0.1)
+    node.core = world._new_agent("a0")
+    node.core.worker_recalled(recalled, world.now)
+    assert node.core.worker == recalled
+    node.core.worker_reported(world.workers["a0"].report(world.now), world.now)
+    assert node.core.worker.sequence > recalled.sequence
