Bound the logs, serve metrics, test real processes against stand-ins

A reader that does not read costs lines, never time. Counters, state and latency histograms of both roles are on port 9464.

The process tests start an entry and an agent against a stand-in of the store and of a worker with the run protocol: a job and its story in the log, a repeat after the answer, a planned stop, an agent killed and restarted, which finds its worker in the store.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -28,6 +28,7 @@
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.driver import TurnDriver
 from briarford_daemon.fleet.links import AgentLinks
+from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import AgentRecord, Registration
 from briarford_daemon.fleet.settings import FleetSettings
 
@@ -39,6 +40,7 @@
 LISTING_RETRY_S = 0.05
 WITHDRAW_RETRY_S = 0.1
 STOP_POLL_S = 0.05
+MS_PER_S = 1000
 STOP_RESERVE_S = 0.7  # of a stop, for closing what is left
 
 
@@ -79,15 +81,22 @@
     :param cfg: its settings.
     :param store: the key-value service.
     :param port: how to call the worker.
+    :param metrics: of this process.
     """
 
     def __init__(
-        self, cfg: FleetSettings, store: Store, port: WorkerPort
+        self,
+        cfg: FleetSettings,
+        store: Store,
+        port: WorkerPort,
+        metrics: FleetMetrics,
     ) -> None:
         self._cfg = cfg
         self._port = port
         self._clock = BootClock()
         self.core = RunAgent(cfg.name, secrets.token_hex(4))
+        self._metrics = metrics
+        metrics.expose(self.core.counts, self._state)
         self._token = 0
         self._fenced = False
         self._links = AgentLinks(self._attach, self._receive, self._closed)
@@ -112,11 +121,14 @@
         self._driver.wake()
 
     async def stop(self) -> None:
-        """Take no new runs, and let those in progress end."""
+        """Take no new runs, and let those in progress end.
+
+        The registration stays until its lease lapses: the next process of
+        this agent finds the worker in it.
+        """
         self.core.stopping = True
         self._wake()
         deadline = self._clock.now() + self._cfg.stop_within_s - STOP_RESERVE_S
-        await self._registration.end()
         await self._wait_until_drained(deadline)
         if self._driver is not None:
             self._driver.close()
@@ -126,6 +138,9 @@
         await self._links.stop()
         await self._port.close()
 
+    def _state(self) -> dict[str, float]:
+        return self.core.state(self._clock.now())
+
     async def _wait_until_drained(self, deadline: float) -> None:
         while self._clock.now() < deadline:
             if self.core.drained():
@@ -205,6 +220,9 @@
                 self._spawn(self._withdraw(effect))
             case AgentEvent():
                 EVENTS.info(effect.action, extra=effect.fields)
+                if effect.action == "run-ended":
+                    ran_s = effect.fields["ran_ms"] / MS_PER_S
+                    self._metrics.run_seconds(effect.fields["how"], ran_s)
 
     async def _place(self, order: PlaceOrder) -> None:
         worker = self.core.worker
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -26,6 +26,7 @@
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.driver import TurnDriver
 from briarford_daemon.fleet.links import EntryLinks
+from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import CALL_TIMEOUT_S, POLL_S, Directory
 from briarford_daemon.fleet.settings import FleetSettings
 
@@ -47,6 +48,7 @@
     :param cfg: its settings.
     :param store: the key-value service.
     :param read_configuration: reads the operators' record by a deadline.
+    :param metrics: of this process.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         cfg: FleetSettings,
         store: Store,
         read_configuration: ReadConfiguration,
+        metrics: FleetMetrics,
     ) -> None:
         self._cfg = cfg
         self._store = store
@@ -61,7 +64,10 @@
         self.clock = BootClock()
         self.core = Dispatcher(cfg.name, secrets.token_hex(4))
         self.routes = ConfigurationHolder()
+        self._metrics = metrics
+        metrics.expose(self.core.counts, self._state)
         self.stopping = False
+        self._read_at = 0.0
         self._links = EntryLinks(self._up, self._receive, self._down)
         self._directory = Directory(store, self.clock, self._listed)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,6 +87,16 @@
         has_routes = self.routes.current is not None
         return has_routes and not self.stopping and self.core.can_place
 
+    def _state(self) -> dict[str, float]:
+        now = self.clock.now()
+        cfg = self.routes.current
+        return {
+            **self.core.state(now),
+            "ready": float(self.ready),
+            "configuration_version": cfg.version if cfg is not None else 0,
+            "configuration_read_age_s": now - self._read_at,
+        }
+
     async def drain(self) -> None:
         """Stop being ready, and finish what has been accepted."""
         self.stopping = True
@@ -104,7 +120,8 @@
 
     async def submit(self, request: JobRequest, route: Route) -> Outcome:
         """Take a request and wait for its outcome."""
-        outcome = self.core.submit(request, route, self.clock.now())
+        began = self.clock.now()
+        outcome = self.core.submit(request, route, began)
         self._wake()
         if outcome is not None:
             return outcome
@@ -115,6 +132,7 @@
         try:
             return await fut
         finally:
+            self._metrics.job_seconds(route.name, self.clock.now() - began)
             self._forget(request.job, fut)
 
     def _forget(self, job: str, fut: asyncio.Future[Outcome]) -> None:
@@ -191,6 +209,7 @@
         except StoreError as exc:
             EVENTS.debug("configuration-not-read", extra={"error": str(exc)})
             return
+        self._read_at = self.clock.now()
         if cfg is not None and self.routes.offer(cfg, self.clock.now()):
             EVENTS.info(
                 "configuration-in-force",
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -90,15 +90,6 @@
             known = True
             await asyncio.sleep(RENEW_PERIOD_S)
 
-    async def end(self) -> None:
-        """End the registration."""
-        if not self._lease:
-            return
-        try:
-            await self._store.revoke_lease(self._lease, self._deadline())
-        except StoreError as exc:
-            LOGGER.warning("lease-not-ended", extra={"error": exc.message})
-
     def _deadline(self) -> float:
         return self._clock.now() + CALL_TIMEOUT_S
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
@@ -22,6 +22,7 @@
     :param store: host and port of the key-value service.
     :param http: where an entry serves clients, or an agent its worker.
     :param health: where an entry answers the balancer; empty for agents.
+    :param metrics_port: where it serves its metrics.
     :param stop_within_s: a graceful stop takes at most so long.
     :param log_level: debug, info, warning or error.
     """
@@ -33,6 +34,7 @@
     store: str
     http: str
     health: str = ""
+    metrics_port: int = 9464
     stop_within_s: float = 6.0
     log_level: str = "info"
 
--- a/packages/briarford-daemon/src/briarford_daemon/logs.py
+++ b/packages/briarford-daemon/src/briarford_daemon/logs.py
@@ -4,26 +4,39 @@
 
 import logging
 import sys
-from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 from briarford.dispatch.messages import Decision
+from briarford_daemon.log_lines import LineBudget, PipeHandler
 
-__all__ = ["log_decision", "set_up_logs"]
+__all__ = ["log_decision", "set_up_bounded_logs", "set_up_logs"]
 
 LOGGER = logging.getLogger("briarford")
 DECISIONS = logging.getLogger("briarford.decision")
 
 
-def set_up_logs(level: str, process: str, stream: TextIO = sys.stderr) -> None:
-    """Write all logs as JSON lines.
+def set_up_logs(level: str, process: str) -> None:
+    """Write all logs as JSON lines to standard error.
 
     :param level: debug, info, warning or error.
     :param process: name of the process, in every line.
-    :param stream: where they go.
     """
-    handler = logging.StreamHandler(stream)
+    _set_up(logging.StreamHandler(sys.stderr), level, process)
+
+
+def set_up_bounded_logs(level: str, process: str) -> None:
+    """Write logs as JSON lines to standard output, bounded, without blocking.
+
+    :param level: debug, info, warning or error.
+    :param process: name of the process, in every line.
+    """
+    handler = PipeHandler(sys.stdout.fileno())
+    handler.addFilter(LineBudget())
+    _set_up(handler, level, process)
+
+
+def _set_up(handler: logging.Handler, level: str, process: str) -> None:
     handler.setFormatter(
         JsonFormatter(
             "{created}{levelname}{name}{message}",
--- /dev/null
+++ b/packages/briarford-daemon/tests/test_log_lines.py
@@ -0,0 +1,64 @@
+"""Log lines under a flood, and when nobody reads them."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+import pytest
+
+from briarford_daemon.log_lines import BUFFER_LINES, LineBudget, PipeHandler
+
+
+def record(message: str) -> logging.LogRecord:
+    return logging.LogRecord(
+        "briarford.decision", logging.INFO, "", 0, message, None, None
+    )
+
+
+def test_a_flood_of_one_kind_does_not_hide_another(monkeypatch):
+    clock = [100.0]
+    monkeypatch.setattr(
+        "briarford_daemon.log_lines.time.monotonic", lambda: clock[0]
+    )
+    budget = LineBudget(lines_per_s=5)
+    passed = [budget.filter(record("placed")) for _ in range(20)]
+    assert sum(passed) == 5
+    assert budget.filter(record("refused"))
+    clock[0] += 1.0
+    line = record("placed")
+    assert budget.filter(line)
+    assert line.suppressed == 15
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_an_unread_pipe_neither_blocks_nor_grows(pipe):
+    reader, writer = pipe
+    handler = PipeHandler(writer)
+    for n in range(3 * BUFFER_LINES):
+        handler.emit(record(f"{n:06} {'x' * 60}"))
+    assert len(handler._buffer) <= BUFFER_LINES
+    assert handler.dropped > 0
+    os.set_blocking(reader, False)
+    first = os.read(reader, 1 << 20).splitlines()
+    handler.emit(record("last"))
+    rest = os.read(reader, 1 << 20).splitlines()
+    whole = [line for line in (first + rest) if len(line) == 67]
+    assert whole[0].startswith(b"000000")
+    assert len(whole) >= len(first) + len(rest) - 4  # lines cut by the reads
+
+
+def test_lines_are_json(pipe):
+    reader, writer = pipe
+    handler = PipeHandler(writer)
+    handler.setFormatter(logging.Formatter('{"message": "%(message)s"}'))
+    handler.emit(record("started"))
+    assert json.loads(os.read(reader, 1000)) == {"message": "started"}
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -598,6 +598,19 @@
         """Whether any agent answers."""
         return any(v.attached for v in self._agents.values())
 
+    def state(self, now: float) -> dict[str, float]:
+        """Return what the entry holds now, by kind."""
+        views = self._agents.values()
+        return {
+            "jobs_open": len(self._jobs),
+            "tasks_waiting": len(self._waiting),
+            "tasks_placed": sum(len(v.dispatches) for v in views),
+            "agents_known": len(self._agents),
+            "agents_attached": sum(v.attached for v in views),
+            "agents_usable": sum(v.usable(now) for v in views),
+            "wait_caution": self._caution.factor,
+        }
+
     def _send(self, view: AgentView, message: EntryMessage) -> None:
         if view.link is not None:
             self._effects.append(SendToAgent(view.link, message))
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -570,6 +570,18 @@
         """Whether the worker runs nothing that this agent did not order."""
         return self._settled
 
+    def state(self, now: float) -> dict[str, float]:
+        """Return what the agent holds now, by kind."""
+        return {
+            "runs": len(self._runs),
+            "sessions": len(self._sessions),
+            "worker_known": float(self.worker is not None),
+            "worker_accepting": float(self.accepting(now)),
+            "worker_answer_age_s": now - self._answered_at,
+            "worker_slowness": self._slowness.factor,
+            "free_cpu": self._rooms.free_cpu(now),
+        }
+
     # -- helpers ------------------------------------------------------------
 
     def _drop_link(self, session: Session) -> None:
--- /dev/null
+++ b/tests/adapter/test_processes.py
@@ -0,0 +1,311 @@
+"""Real processes of an entry and an agent, against stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+from stand_in import StoreStandIn
+
+from briarford.runs import OrderResult
+from fleet.worker import StandInWorker
+
+PATIENCE_S = 30.0
+LEASE_MS = 1000
+ROOT = Path(__file__).parents[2]
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "prefix": "/p/",
+            "service": "desk",
+            "target_latency_ms": 60,
+            "max_attempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "desk"}],
+}
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class WorkerServer:
+    """A stand-in worker on real time and HTTP."""
+
+    def __init__(self) -> None:
+        self.core = StandInWorker("i-1")
+        self.loop = asyncio.get_running_loop()
+
+    def app(self) -> web.Application:
+        app = web.Application()
+        add = app.router.add_route
+        add("POST", "/briarford/run-start", self.start)
+        add("POST", "/briarford/run-stop", self.stop)
+        add("POST", "/briarford/hold", self.hold)
+        return app
+
+    def _clock_ms(self) -> int:
+        return int(self.loop.time() * 1000)
+
+    async def start(self, req: web.Request) -> web.Response:
+        body = msgspec.json.decode(await req.read())
+        job = body["task"].partition(".")[0]
+        self.core.needs.setdefault(job, (1000, 0.1))
+        result = self.core.start(
+            body["task"],
+            body["run"],
+            body["fencing_token"],
+            body["deadline_ms"] / 1000,
+            self.loop.time(),
+        )
+        answer: dict[str, Any] = {"clock_ms": self._clock_ms()}
+        if result is OrderResult.STARTED:
+            return web.json_response(answer)
+        return web.json_response({**answer, "reason": "old"}, status=409)
+
+    async def stop(self, req: web.Request) -> web.Response:
+        body = msgspec.json.decode(await req.read())
+        self.core.stop(
+            body["task"], body["run"], body["fencing_token"], self.loop.time()
+        )
+        return web.json_response({"clock_ms": self._clock_ms()})
+
+    async def hold(self, req: web.Request) -> web.Response:
+        body = msgspec.json.decode(await req.read())
+        until = self.loop.time() + body.get("wait_ms", 0) / 1000
+        lease_ms = body.get("deadline_ms")
+        lease = None if lease_ms is None else lease_ms / 1000
+        while True:
+            listing = self.core.listing(
+                body["last_seen"],
+                body["fencing_token"],
+                lease,
+                self.loop.time(),
+            )
+            if listing.ended or self.loop.time() >= until:
+                break
+            await asyncio.sleep(0.01)
+        return web.json_response(
+            {
+                "clock_ms": self._clock_ms(),
+                "born": listing.born_ms,
+                "running": [
+                    [r.task, r.run, "", r.percent] for r in listing.running
+                ],
+                "ended": [
+                    [e.number, e.task, e.run, e.how, ""] for e in listing.ended
+                ],
+            }
+        )
+
+
+class Fleet:
+    """One entry and one agent as processes, and what they talk to."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._runners: list[web.AppRunner] = []
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.store = StoreStandIn()
+        self.http = aiohttp.ClientSession()
+
+    async def serve(self, app: web.Application) -> str:
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        value = base64.b64encode(json.dumps(CONFIG).encode()).decode()
+        self.store._put({"key": "op/config", "value": value})
+        store = await self.serve(self.store.app())
+        self.worker = WorkerServer()
+        self.worker_address = await self.serve(self.worker.app())
+        for role in ("entry", "agent"):
+            self.settings[role] = {
+                "name": role,
+                "zone": "z",
+                "ip": "127.0.0.1",
+                "rpc_port": free_port(),
+                "store": store,
+                "http": f"127.0.0.1:{free_port()}",
+                "health": f"127.0.0.1:{free_port()}",
+                "metrics_port": free_port(),
+            }
+            await self.launch(role)
+
+    async def launch(self, role: str) -> None:
+        path = self._folder / f"{role}.toml"
+        lines = (
+            f"{k} = {json.dumps(v)}" for k, v in self.settings[role].items()
+        )
+        path.write_text("\n".join(lines))
+        env = {**os.environ, "BRIARFORD_NODE_FILE": str(path)}
+        with (self._folder / f"{role}.log").open("ab") as log:
+            self.processes[role] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "briarford_platform",
+                role,
+                env=env,
+                cwd=self._folder,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def report(self, state: str = "ready") -> None:
+        self.worker.core.sequence += 1
+        body = {
+            "service": "desk",
+            "address": self.worker_address,
+            "zone": "z",
+            "state": state,
+            "capacity": {"cpu": 8000, "mem_mb": 1000, "gpu": 0},
+            "sequence": self.worker.core.sequence,
+            "clock_ms": self.worker._clock_ms(),
+            "born": self.worker.core.born_ms,
+        }
+        address = self.settings["agent"]["http"]
+        url = f"http://{address}/briarford/instances/i-1"
+        async with self.http.put(url, json=body) as resp:
+            assert resp.status == 200
+
+    async def submit(self, job: str) -> tuple[int, bytes]:
+        body = {
+            "spec": "text",
+            "best_effort": True,
+            "steps": [
+                {"count": 3, "cpu": 1000, "mem_mb": 1, "estimated_ms": 100}
+            ],
+        }
+        address = self.settings["entry"]["http"]
+        async with self.http.post(
+            f"http://{address}/p/{job}",
+            json=body,
+            headers={"Host": "h.example"},
+        ) as resp:
+            return resp.status, await resp.read()
+
+    async def eventually(self, attempt: Any, wanted: Any) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    if await attempt() == wanted:
+                        return
+                except (aiohttp.ClientError, OSError):
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def ready(self) -> int:
+        address = self.settings["entry"]["health"]
+        async with self.http.get(f"http://{address}/briarford/ready") as resp:
+            return resp.status
+
+    async def metrics(self, role: str) -> str:
+        port = self.settings[role]["metrics_port"]
+        async with self.http.get(f"http://127.0.0.1:{port}/metrics") as resp:
+            return await resp.text()
+
+    def log(self, role: str) -> list[dict[str, Any]]:
+        text = (self._folder / f"{role}.log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    async def stop(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await self.http.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = Fleet(tmp_path)
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+async def report_ok(fleet: Fleet) -> bool:
+    await fleet.report()
+    return True
+
+
+async def test_a_job_is_served_and_its_story_is_logged(fleet):
+    await fleet.eventually(lambda: report_ok(fleet), True)
+    await fleet.eventually(fleet.ready, 200)
+    done = (200, b'{"state":"completed"}')
+    await fleet.eventually(lambda: fleet.submit("00000000000000aa"), done)
+    # A repeat after the answer is the same job: nothing runs again.
+    before = len(fleet.worker.core.history)
+    assert await fleet.submit("00000000000000aa") == done
+    assert len(fleet.worker.core.history) == before == 3
+    assert 'kind="completed"' in await fleet.metrics("entry")
+    assert 'kind="done"' in await fleet.metrics("agent")
+    story = [
+        line["message"]
+        for line in fleet.log("entry")
+        if "00000000000000aa" in str(line.get("job", line.get("task", "")))
+    ]
+    assert story[0] == "accepted" or "refused" in story
+    assert story.count("placed") == 3
+    assert story[-1] == "job-ended"
+
+
+async def test_a_planned_stop_answers_what_is_in_flight(fleet):
+    await fleet.eventually(lambda: report_ok(fleet), True)
+    await fleet.eventually(fleet.ready, 200)
+    done = (200, b'{"state":"completed"}')
+    await fleet.eventually(lambda: fleet.submit("00000000000000ab"), done)
+    fleet.worker.core.needs["00000000000000ac"] = (1000, 1.0)
+    running = asyncio.create_task(fleet.submit("00000000000000ac"))
+    while not fleet.worker.core.runs:
+        await asyncio.sleep(0.01)
+    fleet.processes["entry"].send_signal(signal.SIGTERM)
+    assert await running == done
+    async with asyncio.timeout(PATIENCE_S):
+        assert await fleet.processes["entry"].wait() == 0
+
+
+async def test_a_restarted_agent_serves_without_a_new_heartbeat(fleet):
+    await fleet.eventually(lambda: report_ok(fleet), True)
+    await fleet.eventually(fleet.ready, 200)
+    done = (200, b'{"state":"completed"}')
+    await fleet.eventually(lambda: fleet.submit("00000000000000ad"), done)
+
+    async def is_recorded() -> bool:
+        return any(
+            b"i-1" in base64.b64decode(item["value"])
+            for key, item in fleet.store.items.items()
+            if key.startswith("agents/")
+        )
+
+    await fleet.eventually(is_recorded, True)
+    fleet.processes["agent"].kill()
+    await fleet.processes["agent"].wait()
+    await fleet.launch("agent")
+    await fleet.eventually(lambda: fleet.submit("00000000000000ae"), done)
