--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 from aiohttp import web
+
 from stand_in import StoreStandIn, WorkerStandIn
 
 
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -16,10 +16,10 @@
 import msgspec
 import pytest
 from aiohttp import web
-from stand_in import StoreStandIn
 
 from briarford.runs import OrderResult
 from fleet.worker import StandInWorker
+from stand_in import StoreStandIn
 
 PATIENCE_S = 30.0
 LEASE_MS = 1000
@@ -283,8 +283,11 @@
     await fleet.eventually(lambda: fleet.submit("00000000000000ab"), done)
     fleet.worker.core.needs["00000000000000ac"] = (1000, 1.0)
     running = asyncio.create_task(fleet.submit("00000000000000ac"))
-    while not fleet.worker.core.runs:
-        await asyncio.sleep(0.01)
+
+    async def is_running() -> bool:
+        return bool(fleet.worker.core.runs)
+
+    await fleet.eventually(is_running, True)
     fleet.processes["entry"].send_signal(signal.SIGTERM)
     assert await running == done
     async with asyncio.timeout(PATIENCE_S):
