Ask for slots when the running tasks are stuck

One run at a paused backend server counted as twelve tasks served soon, for as long as it hung; agents heard no demand and kept five idle credits with the other entry. Change: without a start or an end in the service for as long as the estimate looks ahead (notice_after_ms), nothing is subtracted. Ruled out: lost demand reports (they arrived each second, with zero), leaving or throttled workers.

--- a/packages/briarford-bench/src/briarford_bench/placement_trial.py
+++ b/packages/briarford-bench/src/briarford_bench/placement_trial.py
@@ -351,7 +351,7 @@
         for worker in self._announce(entry):
             batches.setdefault(worker, Batch())
         for worker, batch in batches.items():
-            batch.demand = placer.demand_of(f"{worker}")
+            batch.demand = placer.demand_of(f"{worker}", self._now)
             self._send(
                 entry,
                 worker,
--- a/packages/briarford/src/briarford/dispatch/entry.py
+++ b/packages/briarford/src/briarford/dispatch/entry.py
@@ -663,7 +663,7 @@
             return
         batch = session.outbox.build(
             session.sequence.next(),
-            self.placer.demand_of(session.agent),
+            self.placer.demand_of(session.agent, now),
             self.stopping,
             session.sequence.received,
         )
--- a/packages/briarford/src/briarford/placement/placer.py
+++ b/packages/briarford/src/briarford/placement/placer.py
@@ -222,7 +222,7 @@
         pool = self._pools.get(service)
         return pool.queued if pool else 0
 
-    def demand_of(self, name: str) -> int:
+    def demand_of(self, name: str, now: float) -> int:
         """Return a worker's part of the tasks that wait for a slot.
 
         It is none where the worker is leaving or throttled.
@@ -237,7 +237,7 @@
             for c in pool.classes.values()
             if group in c.groups
         )
-        served = self._served_soon(pool) / pool.worker_count
+        served = self._served_soon(pool, now) / pool.worker_count
         return max(0, math.ceil(waiting - served))
 
     def team_demand(self) -> dict[str, int]:
@@ -278,6 +278,7 @@
             run_s = run_ms / MS_PER_S
             pool.speeds.observe(worker, task.team, job_id, run_s)
         pool.end(job_id, task.team, state)
+        pool.moved_at = now
         if state is None:
             return
         if status is TaskStatus.NOT_STARTED:
@@ -307,14 +308,19 @@
                 names += self._tell(pool, now)
         return names
 
-    def _served_soon(self, pool: ServicePool) -> float:
-        """Expect how many waiting tasks get an own slot without notice."""
-        ends_per_s = pool.running / pool.speeds.slot_s("")
-        return ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+    def _served_soon(self, pool: ServicePool, now: float) -> float:
+        """Expect how many waiting tasks get an own slot without notice.
+
+        None if nothing has started or ended for as long: then what runs is
+        stuck, and its slots do not become free at the usual rate.
+        """
+        notice_after_s = self._cfg.notice_after_ms / MS_PER_S
+        if now > pool.moved_at + notice_after_s:
+            return 0.0
+        return pool.running / pool.speeds.slot_s("") * notice_after_s
 
     def _tell(self, pool: ServicePool, now: float) -> list[str]:
-        ends_per_s = pool.running / pool.speeds.slot_s("")
-        soon = ends_per_s * self._cfg.notice_after_ms / MS_PER_S
+        soon = self._served_soon(pool, now)
         wanted = math.ceil((pool.queued - soon) / self._cfg.waiting_per_notice)
         if wanted <= 0:
             return []
@@ -430,6 +436,7 @@
         run_s = pool.speeds.run_s(share.team, job.job_id)
         share.used += run_s / share.weight
         pool.start(job, worker)
+        pool.moved_at = now
         worker.told_at = now
         if not job.tasks:
             pool.forget_entry(job)
--- a/packages/briarford/src/briarford/placement/pool.py
+++ b/packages/briarford/src/briarford/placement/pool.py
@@ -42,6 +42,7 @@
         "credits",
         "groups",
         "jobs",
+        "moved_at",
         "running",
         "running_by_job",
         "service",
@@ -58,6 +59,7 @@
         self.jobs: dict[str, list[tuple[FitClass, JobEntry]]] = {}
         self.credits = 0
         self.running = 0
+        self.moved_at = 0.0  # when a task last started or ended
         self.running_by_job: dict[str, int] = {}
         self._by_needs: dict[Needs, FitClass] = {}
 
--- a/packages/briarford/tests/dispatch/test_fault_matrix.py
+++ b/packages/briarford/tests/dispatch/test_fault_matrix.py
@@ -31,6 +31,10 @@
     [
         pytest.param(2, 1823690366, id="repeat-after-a-refusal-of-two"),
         pytest.param(3, 1093585234, id="repeat-after-a-refusal-of-three"),
+        # A stuck run counted as one that ends soon, so that its entry asked
+        # for no other slot and held its waiting tasks.
+        pytest.param(3, 933499703, id="stuck-run-hides-demand"),
+        pytest.param(3, 1849348425, id="stuck-run-hides-demand-again"),
     ],
 )
 def test_cases_that_make_soak_found(size, seed):
@@ -44,3 +48,4 @@
 
 def test_page_of_faults_is_up_to_date():
     assert report.PAGE.read_text() == report.page()
+
--- a/packages/briarford/tests/test_placement.py
+++ b/packages/briarford/tests/test_placement.py
@@ -302,7 +302,7 @@
     placer.add_credits("w0", 8)
     placer.enqueue(make_tasks("job", 8))
     assert placer.place(NOW) == []
-    assert placer.demand_of("w0") == 0
+    assert placer.demand_of("w0", NOW) == 0
     assert [p.worker for p in placer.place(NOW + 1.0)] == ["w0"]
     (verdict,) = placer.take_verdicts()
     assert verdict.worker == "w0"
