--- a/packages/briarford/tests/dispatch/test_fault_matrix.py
+++ b/packages/briarford/tests/dispatch/test_fault_matrix.py
@@ -48,4 +48,3 @@
 
 def test_page_of_faults_is_up_to_date():
     assert report.PAGE.read_text() == report.page()
-
