--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import secrets
@@ -38,6 +39,8 @@
 
 LISTING_WAIT_S = 0.2  # renews a lease of one second five times
 LISTING_RETRY_S = 0.05
+# Two listings wait at any time, so that one lost answer delays no end.
+WATCHERS = 2
 WITHDRAW_RETRY_S = 0.1
 STOP_POLL_S = 0.05
 MS_PER_S = 1000
@@ -117,7 +120,9 @@
         self._driver = TurnDriver(self.core, self._clock, self._perform)
         await self._links.start(self._cfg.ip, self._cfg.rpc_port)
         self._spawn(self._registration.run())
-        self._spawn(self._watch_worker())
+        for number in range(WATCHERS):
+            offset_s = number * LISTING_WAIT_S / WATCHERS
+            self._spawn(self._watch_worker(offset_s))
         self._driver.wake()
 
     async def stop(self) -> None:
@@ -241,35 +246,45 @@
             if await self._port.stop_run(worker, order, self._token):
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
+                await self._list_runs(0.0)  # shows whether it ran at all
                 return
             if not self.core.is_open(order.key):
                 return
             await asyncio.sleep(WITHDRAW_RETRY_S)
 
-    async def _watch_worker(self) -> None:
+    async def _watch_worker(self, offset_s: float) -> None:
         """Renew the lease of the runs and read the lists, again and again."""
+        await asyncio.sleep(offset_s)
         while True:
-            worker = self.core.worker
-            if worker is None or not self.core.has_token:
-                self._reported.clear()
-                await asyncio.wait(
-                    [asyncio.create_task(self._reported.wait())],
-                    timeout=LISTING_WAIT_S,
-                )
-                continue
-            asked_at = self._clock.now()
-            extend = self.core.may_extend_lease(asked_at)
-            if extend:
-                self.core.lease_extended(asked_at)
-            listing = await self._port.list_runs(
-                worker,
-                self.core.last_seen,
-                self._token,
-                LISTING_WAIT_S if self.core.settled else 0.0,
-                extend,
-            )
-            if listing is None:
+            if self.core.worker is None or not self.core.has_token:
+                await self._wait_for_report()
+            elif not await self._list_runs(LISTING_WAIT_S):
                 await asyncio.sleep(LISTING_RETRY_S)
-                continue
-            self.core.listing_received(listing, asked_at, self._clock.now())
-            self._wake()
+
+    async def _wait_for_report(self) -> None:
+        self._reported.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LISTING_WAIT_S):
+                await self._reported.wait()
+
+    async def _list_runs(self, wait_s: float) -> bool:
+        """Ask the worker for its lists once; False without an answer."""
+        worker = self.core.worker
+        if worker is None:
+            return False
+        asked_at = self._clock.now()
+        extend = self.core.may_extend_lease(asked_at)
+        if extend:
+            self.core.lease_extended(asked_at)
+        listing = await self._port.list_runs(
+            worker,
+            self.core.last_seen,
+            self._token,
+            wait_s if self.core.settled else 0.0,
+            extend,
+        )
+        if listing is None:
+            return False
+        self.core.listing_received(listing, asked_at, self._clock.now())
+        self._wake()
+        return True
--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -9,10 +9,16 @@
 
 from collections import deque
 
-__all__ = ["MIN_RETRY_AFTER_S", "DrainRate", "estimate_wait_s"]
+__all__ = [
+    "MAX_RETRY_AFTER_S",
+    "MIN_RETRY_AFTER_S",
+    "DrainRate",
+    "estimate_wait_s",
+]
 
 WINDOW_S = 1.0  # several times the length of a usual task
 MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 5.0  # bursts of the deployments last about four seconds
 
 
 # Settles where one task in ten starts late: more urgent requests that come
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -15,6 +15,7 @@
     Step,
 )
 from briarford.requests.admission import (
+    MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     Caution,
     DrainRate,
@@ -74,6 +75,7 @@
 AVOID_S = 0.3  # after an order that an agent could not carry out
 OFFER_USE_S = 0.04  # shorter than the agent holds an offer
 DEMAND_PERIOD_S = 0.1
+LATE_SLACK_S = 100.0  # longer than any task may wait
 FULL_SHARE = 0.85  # with more of the capacity free nothing is refused
 # A turn is due five times a second: after so long a pause the process was
 # frozen, and what its sockets got meanwhile is read before anything starts.
@@ -184,7 +186,9 @@
         )
         if wait_s <= slack_s:
             return None
-        retry_in_s = min(5.0, max(MIN_RETRY_AFTER_S, wait_s - slack_s))
+        retry_in_s = min(
+            MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s - slack_s)
+        )
         return self._refuse(
             RefusalReason.DEADLINE_UNREACHABLE,
             "the work that waits already does not leave enough time",
@@ -424,6 +428,7 @@
         self._tell_demand(now)
         if now >= self._next_pulse:
             self._next_pulse = now + PULSE_PERIOD_S
+            self._give_up_late(now)
             self._pulse(now)
         effects, self._effects = self._effects, []
         return effects
@@ -552,9 +557,7 @@
                 (t for t, s in heads if accepts_agent(t, view, s, now)), None
             )
             cpu = task.spec.cpu if task is not None else 0
-            slack_s = (
-                round(task.start_by - now, 3) if task is not None else 0.0
-            )
+            slack_s = _slack_s(task, now) if task is not None else 0.0
             had_cpu = view.demand.cpu if view.demand is not None else 0
             offered = now < view.offered_until and view.offered_cpu > 0
             due = now >= view.demand_at + DEMAND_PERIOD_S
@@ -583,6 +586,26 @@
                 break
         return heads
 
+    def _give_up_late(self, now: float) -> None:
+        """Refuse jobs that have not started and are of no use any more."""
+        late = {
+            task.job.request.job: task.job
+            for task in self._waiting.late(now)
+            if not task.job.started and _is_useless(task, now)
+        }
+        for job in late.values():
+            refused = self._refuse(
+                RefusalReason.DEADLINE_UNREACHABLE,
+                "no worker had room in time",
+                now + max(MIN_RETRY_AFTER_S, self._longest_wait_s(now)),
+            )
+            self._end_job(job, refused, now, remember=False)
+
+    def _longest_wait_s(self, now: float) -> float:
+        """Return how long all work that waits takes to be started."""
+        wait_s = estimate_wait_s(self._waiting.work, self._drain.per_s(now))
+        return min(MAX_RETRY_AFTER_S, wait_s)
+
     def _pulse(self, now: float) -> None:
         for view in self._agents.values():
             if view.link is not None and view.attached:
@@ -633,6 +656,16 @@
         self._effects.append(EntryEvent(action, fields))
 
 
+def _is_useless(task: Task, now: float) -> bool:
+    return now + task.spec.expected_s > task.job.late_at
+
+
+def _slack_s(task: Task, now: float) -> float:
+    """Return how long a task may wait; late ones come after all others."""
+    slack_s = round(task.start_by - now, 3)
+    return slack_s if slack_s >= 0 else LATE_SLACK_S - slack_s
+
+
 def _work(task: Task) -> float:
     return task.spec.cpu * task.spec.expected_s
 
--- a/packages/briarford/src/briarford/requests/waiting.py
+++ b/packages/briarford/src/briarford/requests/waiting.py
@@ -58,6 +58,11 @@
         for at in range(first - 1, -1, -1):
             yield self._tasks[at]
 
+    def late(self, now: float) -> list[Task]:
+        """Return the tasks that cannot be in time any more."""
+        first = bisect.bisect_left(self._tasks, now, key=_key)
+        return self._tasks[:first]
+
     def work_before(self, start_by: float, now: float) -> float:
         """Return the work that may be in time and is more urgent."""
         first = bisect.bisect_left(self._tasks, now, key=_key)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -54,6 +54,7 @@
 # Without an answer for so long the lease is left to lapse.
 SILENCE_S = 0.6
 STALL_S = 0.7  # a healthy task of under a minute gains 1% in that time
+STALL_LISTINGS = 3  # lost answers must not look like a lack of progress
 FORGET_SESSION_S = 30.0
 
 # Less progress is too coarse, given in whole per cent, to tell the speed.
@@ -127,6 +128,7 @@
         self._lease_end = 0.0
         self._next_pulse = 0.0
         self._settled = False
+        self._listed_at = 0.0
         self._effects: list[AgentEffect] = []
 
     # -- the worker ---------------------------------------------------------
@@ -194,10 +196,14 @@
         if self.worker is None or listing.born_ms != self.worker.born_ms:
             return
         self._answered_at = now
+        overtaken = requested_at < self._listed_at
+        self._listed_at = max(self._listed_at, requested_at)
         for row in sorted(listing.ended, key=lambda r: r.number):
             if row.number > self.last_seen:
                 self.last_seen = row.number
                 self._take_end(row, now)
+        if overtaken:
+            return  # a later listing has told more of what runs
         listed = set()
         for running in listing.running:
             listed.add((running.task, running.run))
@@ -243,8 +249,14 @@
         if percent != run.percent:
             run.percent = percent
             run.progressed_at = now
+            run.idle_listings = 0
+        else:
+            run.idle_listings += 1
         if percent >= SAMPLE_PERCENT:
             self._sample(run, (now - run.started_at) * 100 / percent)
+        if run.phase is RunPhase.RUNNING and _has_stalled(run, now):
+            self._note_failure(run, now)
+            self._stop(run, RunEnd.STALLED)
 
     def _sample(self, run: Run, total_s: float) -> None:
         """Learn from a run once, from its progress or from its end."""
@@ -460,7 +472,6 @@
         """Decide, and return the effects to perform."""
         self._expire_sessions(now)
         self._expire_lease(now)
-        self._stop_stalled(now)
         self._make_offers(now)
         self._send_status(now)
         if now >= self._next_pulse:
@@ -493,16 +504,6 @@
             self._log("worker-silent", runs=len(self._runs))
             self._end_all(RunEnd.LOST, now)
 
-    def _stop_stalled(self, now: float) -> None:
-        if not self.may_extend_lease(now):
-            return
-        for run in list(self._runs.values()):
-            if run.phase is not RunPhase.RUNNING:
-                continue
-            if now - run.progressed_at > STALL_S + run.expected_s * 0.02:
-                self._note_failure(run, now)
-                self._stop(run, RunEnd.STALLED)
-
     def _make_offers(self, now: float) -> None:
         if not self.accepting(now):
             return
@@ -603,6 +604,13 @@
     return report.worker, report.born_ms
 
 
+def _has_stalled(run: Run, now: float) -> bool:
+    """Whether several listings over some time show no progress."""
+    idle_s = now - run.progressed_at
+    limit_s = STALL_S + run.expected_s / 100
+    return run.idle_listings >= STALL_LISTINGS and idle_s > limit_s
+
+
 def _must_be_listed(run: Run, requested_at: float) -> bool:
     """Whether a run not in a listing of that time has ended."""
     if run.withdrawn_at:
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -33,6 +33,7 @@
     :param expected_s: estimated seconds of work at nominal speed.
     :param ordered_at: when the order was sent to the worker.
     :param progressed_at: when its percentage last changed.
+    :param idle_listings: listings since then that showed no progress.
     :param withdrawn_at: when the worker answered the order to stop it.
     :param sampled: whether the worker's speed was learnt from it.
     :param end: what to report when it has stopped.
@@ -51,6 +52,7 @@
     started_at: float = 0.0
     percent: int = 0
     progressed_at: float = 0.0
+    idle_listings: int = 0
     withdrawn_at: float = 0.0
     sampled: bool = False
     end: RunEnd = RunEnd.STOPPED
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from briarford.outcomes import Completed, Failed, Refused
+from briarford.requests.dispatcher import LATE_SLACK_S
 from fleet.worker import StandInWorker
 from fleet.world import World, request
 
@@ -250,3 +251,21 @@
     assert node.core.worker == recalled
     node.core.worker_reported(world.workers["a0"].report(world.now), world.now)
     assert node.core.worker.sequence > recalled.sequence
+
+
+def test_what_cannot_be_of_use_any_more_is_refused_before_its_client_leaves():
+    """The only worker has room, but never enough for a wide task."""
+    world = make_world(count=1, entries=2)
+    world.submit(world.entries["e0"], request("long", count=7, work_s=8.0))
+    world.run(0.1)
+    entry = world.entries["e1"]
+    world.submit(entry, request("short", work_s=0.1, cpu=20000))
+    world.run(0.3)
+    # Past its objective it waits behind all that may be in time.
+    assert entry.core._agents["a0"].demand.slack_s > LATE_SLACK_S
+    world.run(2.0)
+    at, outcome = world.outcomes["short"]
+    assert at < 1001.1 + 3 * (1.6 * 0.1 + 0.06) + 0.3
+    assert isinstance(outcome, Refused)
+    assert outcome.retry_at is not None
+    assert not any(i.task.startswith("short") for i in world.history())
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -0,0 +1,75 @@
+"""Single decisions of an agent."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.runs import (
+    Attach,
+    EntryPulse,
+    OrderResult,
+    RunAgent,
+    RunListing,
+    RunningRow,
+    StartRun,
+)
+from briarford.runs.agent import PlaceOrder, WithdrawRun
+from fleet.worker import StandInWorker
+
+NOW = 1000.0
+
+
+def make_agent(*entries: str) -> RunAgent:
+    agent = RunAgent("a", "i")
+    agent.has_token = True
+    agent.worker_reported(StandInWorker("w", cpu=6000).report(NOW), NOW)
+    agent.listing_received(RunListing(1, (), ()), NOW, NOW)
+    for link, entry in enumerate(entries):
+        agent.attach(link, Attach(entry, "i", 1, 0.0), NOW)
+        agent.handle(link, EntryPulse(NOW, 0), NOW)
+    agent.turn(NOW)
+    return agent
+
+
+def start(agent: RunAgent, task: str, dispatch: int, link: int = 0) -> None:
+    order = StartRun(dispatch, task, dispatch, "p", 3000, 1, 0, 0.5)
+    agent.handle(link, order, NOW)
+    keys = [e.key for e in agent.turn(NOW) if isinstance(e, PlaceOrder)]
+    for key in keys:
+        agent.order_answered(key, OrderResult.STARTED, NOW)
+
+
+@pytest.mark.parametrize(
+    ("percents", "stopped"),
+    [
+        ([], False),  # answers lost: nothing is known of the progress
+        ([0], False),
+        ([0, 0, 0, 0], True),
+        ([0, 10, 20, 30], False),
+    ],
+    ids=["none", "one", "no progress", "progress"],
+)
+def test_only_listings_show_that_a_run_stalls(percents, stopped):
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    effects = []
+    for n, percent in enumerate(percents):
+        at = NOW + 0.5 + 0.3 * (n + 1)  # the first one is late
+        row = RunningRow("j.0.0.0", 1, percent)
+        agent.listing_received(RunListing(1, (row,), ()), at - 0.01, at)
+        agent.handle(0, EntryPulse(at, 0), at)
+        effects += agent.turn(at)
+    if not percents:
+        effects += agent.turn(NOW + 0.8)
+    found = any(isinstance(e, WithdrawRun) for e in effects)
+    assert found is stopped
+
+
+def test_a_listing_that_was_overtaken_revives_nothing():
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    row = RunningRow("j.0.0.0", 1, 10)
+    agent.listing_received(RunListing(1, (), ()), NOW + 0.2, NOW + 0.21)
+    agent.listing_received(RunListing(1, (row,), ()), NOW + 0.1, NOW + 0.22)
+    effects = agent.turn(NOW + 0.23)
+    assert not any(isinstance(e, WithdrawRun) for e in effects)
