Describe the events of the fleet for the person on call

A table of events, held against the code by a test, and how to get from the id of a refused, late, failed or unanswered request to its cause. The lines session-expired and entry-restarted are written once, not each turn until the runs have stopped.

--- /dev/null
+++ b/packages/briarford-daemon/tests/test_events_page.py
@@ -0,0 +1,43 @@
+"""The page of events names what the code logs."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+PAGE = ROOT / "docs" / "operations" / "fleet.md"
+SOURCES = [
+    *(ROOT / "packages/briarford/src/briarford/runs").glob("*.py"),
+    *(ROOT / "packages/briarford/src/briarford/requests").glob("*.py"),
+    *(ROOT / "packages/briarford-daemon/src/briarford_daemon/fleet").glob(
+        "*.py"
+    ),
+    *(ROOT / "platform/src/briarford_platform").glob("*.py"),
+]
+LOGGED = re.compile(
+    r"(?:_log|LOGGER\.\w+|EVENTS\.\w+|_stop_all)\("
+    r"\s*(?:session, )?[\"']([a-z][a-z-]+)[\"']"
+)
+
+
+def logged() -> set[str]:
+    text = "\n".join(p.read_text() for p in SOURCES)
+    return set(LOGGED.findall(text))
+
+
+def documented() -> set[str]:
+    table = PAGE.read_text().partition("## Events")[2].partition("\n## ")[0]
+    names = set()
+    for row in table.splitlines():
+        if row.startswith("| `"):
+            names |= set(re.findall(r"`([a-z-]+)`", row.split("|")[1]))
+    return names
+
+
+@pytest.mark.parametrize("name", sorted(logged() | documented()))
+def test_event_is_logged_and_documented(name):
+    assert name in logged()
+    assert name in documented()
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -430,9 +430,14 @@
         self._effects.append(WithdrawRun(run.key, run.task, run.run))
 
     def _stop_all(self, session: Session, reason: str) -> None:
-        if session.runs:
-            self._log(reason, entry=session.entry, runs=len(session.runs))
-        for run in list(session.runs.values()):
+        open_runs = [
+            r
+            for r in session.runs.values()
+            if r.phase is not RunPhase.STOPPING
+        ]
+        if open_runs:
+            self._log(reason, entry=session.entry, runs=len(open_runs))
+        for run in open_runs:
             self._stop(run, RunEnd.STOPPED)
 
     def _end_all(self, end: RunEnd, now: float) -> None:
