Wait for agents after a common restart; stop renewing a refused worker

And a worker that refused connections after a crash kept its runs open for 0.6 s before its lease was left to lapse. Change: for a second after its start, or after workers were last usable, an entry lets requests wait; they are refused once they are of no use. A refused listing ends the renewals at once. Ruled out: counting the runs of a refused worker as ended at once.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -13,6 +13,7 @@
 from briarford.runs import (
     Attach,
     EntryMessage,
+    NoListing,
     OrderResult,
     RunAgent,
     RunListing,
@@ -67,8 +68,8 @@
         token: int,
         wait_s: float,
         extend: bool,
-    ) -> RunListing | None:
-        """Acknowledge ends and read the lists; None without an answer.
+    ) -> RunListing | NoListing:
+        """Acknowledge ends and read the lists.
 
         :param wait_s: the answer may wait so long for an end.
         :param extend: whether to renew the lease of the runs.
@@ -283,7 +284,10 @@
             wait_s if self.core.settled else 0.0,
             extend,
         )
-        if listing is None:
+        if listing is NoListing.REFUSED:
+            self.core.worker_refused(self._clock.now())
+            self._wake()
+        if isinstance(listing, NoListing):
             return False
         self.core.listing_received(listing, asked_at, self._clock.now())
         self._wake()
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -75,6 +75,8 @@
 AVOID_S = 0.3  # after an order that an agent could not carry out
 OFFER_USE_S = 0.04  # shorter than the agent holds an offer
 DEMAND_PERIOD_S = 0.1
+# A process is up half a second after its VM, and attached soon after.
+ATTACH_S = 1.0
 LATE_SLACK_S = 100.0  # longer than any task may wait
 FULL_SHARE = 0.85  # with more of the capacity free nothing is refused
 # A turn is due five times a second: after so long a pause the process was
@@ -109,6 +111,8 @@
         self._last_connection = 0
         self._next_pulse = 0.0
         self._turned_at = 0.0
+        self._started_at = 0.0
+        self._usable_at: dict[str, float] = {}
         self._place_from = 0.0
         self._effects: list[EntryEffect] = []
 
@@ -155,8 +159,10 @@
             return self._refuse(
                 RefusalReason.UNSUPPORTED, f"not available: {names}", None
             )
-        views = self._views_of(route.service)
-        if not any(v.usable(now) for v in views):
+        usable = [v for v in self._views_of(route.service) if v.usable(now)]
+        if usable:
+            self._usable_at[route.service] = now
+        elif not self._may_return(route.service, now):
             return self._refuse(
                 RefusalReason.WORKERS_LOST,
                 f"no worker of '{route.service}' takes tasks now",
@@ -169,10 +175,19 @@
                 "the entry stops; another one takes the request",
                 now + MIN_RETRY_AFTER_S,
             )
-        if utilisation([v for v in views if v.usable(now)], now) < FULL_SHARE:
+        if not usable or utilisation(usable, now) < FULL_SHARE:
             return None
         return self._check_wait(request, route, now)
 
+    def _may_return(self, service: str, now: float) -> bool:
+        """Whether workers of a service are about to be found, or were just.
+
+        After a common restart entries are up before agents; what arrives
+        meanwhile waits, as workers come within its objective.
+        """
+        since = max(self._started_at, self._usable_at.get(service, 0.0))
+        return now - since < ATTACH_S
+
     def _check_wait(
         self, request: JobRequest, route: Route, now: float
     ) -> Refused | None:
@@ -438,6 +453,8 @@
         return self._next_pulse
 
     def _notice_pause(self, now: float) -> None:
+        if not self._started_at:
+            self._started_at = now
         paused_s = now - self._turned_at
         if self._turned_at and paused_s > PAUSE_S:
             self._log("paused", paused_ms=round(paused_s * 1000))
--- a/packages/briarford/src/briarford/runs/__init__.py
+++ b/packages/briarford/src/briarford/runs/__init__.py
@@ -25,6 +25,7 @@
 from briarford.runs.worker import (
     Capacity,
     EndedRow,
+    NoListing,
     OrderResult,
     RunListing,
     RunningRow,
@@ -43,6 +44,7 @@
     "EntryBatch",
     "EntryMessage",
     "EntryPulse",
+    "NoListing",
     "Offer",
     "OrderResult",
     "RunAgent",
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -218,6 +218,16 @@
         known = all((r.task, r.run) in self._by_task for r in listing.running)
         self._settled = self._settled or known
 
+    def worker_refused(self, now: float) -> None:
+        """Note that connections to the worker are refused.
+
+        It may have crashed or be cut off and run on, so its runs count as
+        ended only with their lease, which is not renewed from now on.
+        """
+        if self.may_extend_lease(now):
+            self._log("worker-refused", runs=len(self._runs))
+        self._answered_at = min(self._answered_at, now - SILENCE_S)
+
     def _take_end(self, row: EndedRow, now: float) -> None:
         run = self._by_task.get((row.task, row.run))
         if run is None:
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Capacity",
     "EndedRow",
+    "NoListing",
     "OrderResult",
     "RunListing",
     "RunningRow",
@@ -72,6 +73,13 @@
     UNANSWERED = "unanswered"
 
 
+class NoListing(enum.Enum):
+    """Why a worker's lists could not be had."""
+
+    UNANSWERED = "unanswered"
+    REFUSED = "refused"  # crashed, or cut off in a way that refuses
+
+
 @dataclass(slots=True, frozen=True)
 class RunningRow:
     """A run in a worker's list.
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -269,3 +269,24 @@
     assert isinstance(outcome, Refused)
     assert outcome.retry_at is not None
     assert not any(i.task.startswith("short") for i in world.history())
+
+
+@pytest.mark.parametrize(
+    ("up_after_s", "served"), [(0.4, True), (20.0, False)]
+)
+def test_an_entry_that_has_just_started_waits_for_agents(up_after_s, served):
+    world = make_world()
+    for node in [*world.entries.values(), *world.agents.values()]:
+        world.kill(node)
+    world.run(1.0)
+    entry = world.entries["e0"]
+    world.restart_entry(entry)
+    for node in world.agents.values():
+        world.after(up_after_s, lambda n=node: world.restart_agent(n))
+    world.run(0.1)
+    world.submit(entry, request("j"))
+    world.run(3.0)
+    outcome = world.outcomes["j"][1]
+    assert isinstance(outcome, Completed if served else Refused)
+    refused = world.submit(entry, request("k")) if not served else None
+    assert served or isinstance(refused, Refused)
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -9,11 +9,13 @@
     EntryPulse,
     OrderResult,
     RunAgent,
+    RunEnd,
+    RunEnded,
     RunListing,
     RunningRow,
     StartRun,
 )
-from briarford.runs.agent import PlaceOrder, WithdrawRun
+from briarford.runs.agent import PlaceOrder, SendToEntry, WithdrawRun
 from fleet.worker import StandInWorker
 
 NOW = 1000.0
@@ -73,3 +75,25 @@
     agent.listing_received(RunListing(1, (row,), ()), NOW + 0.1, NOW + 0.22)
     effects = agent.turn(NOW + 0.23)
     assert not any(isinstance(e, WithdrawRun) for e in effects)
+
+
+def test_runs_of_a_worker_that_refuses_end_with_their_lease():
+    """It may be cut off and run on until then."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    agent.lease_extended(NOW)
+    agent.worker_refused(NOW + 0.1)
+    assert not agent.may_extend_lease(NOW + 0.1)
+    assert not agent.accepting(NOW + 0.1)
+    assert lost(agent, NOW + 1.01) == []
+    assert lost(agent, NOW + 1.1) == [RunEnd.LOST]
+    agent.listing_received(RunListing(1, (), ()), NOW + 1.4, NOW + 1.4)
+    assert agent.accepting(NOW + 1.4)
+
+
+def lost(agent: RunAgent, now: float) -> list[RunEnd]:
+    return [
+        e.message.how
+        for e in agent.turn(now)
+        if isinstance(e, SendToEntry) and isinstance(e.message, RunEnded)
+    ]
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import time
 
 import pytest
@@ -11,7 +12,9 @@
 from briarford.runs import (
     Capacity,
     EndedRow,
+    NoListing,
     OrderResult,
+    RunListing,
     RunningRow,
     WorkerReport,
 )
@@ -156,7 +159,7 @@
         "ended": [[58, "j.0.0.9", 1, "done", ""]],
     }
     listing = await worker.list_runs(report(address), 57, 42, 0.2, True)
-    assert listing is not None
+    assert isinstance(listing, RunListing)
     assert listing.born_ms == 77
     assert listing.running[0] == RunningRow("j.0.0.1", 2, 41)
     assert listing.ended == (EndedRow(58, "j.0.0.9", 1, "done"),)
@@ -176,3 +179,19 @@
     await worker.start_run(report(address), order, 42)
     ahead_ms = stand_in.calls[1][1]["deadline_ms"] - 900_000
     assert LEASE_MS <= ahead_ms <= LEASE_MS + CLOCK_ERROR_MS
+
+
+async def test_listings_that_cannot_be_had(worker, worker_server):
+    stand_in, address = worker_server
+    stand_in.status = 421
+    listing = await worker.list_runs(report(address), 0, 42, 0.0, True)
+    assert listing is NoListing.UNANSWERED
+    stand_in.silent = True
+    listing = await worker.list_runs(report(address), 0, 42, 0.0, True)
+    assert listing is NoListing.UNANSWERED
+    with socket.socket() as sock:  # bound, but nothing listens
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        nobody = report(f"127.0.0.1:{port}")
+        listing = await worker.list_runs(nobody, 0, 42, 0.0, True)
+    assert listing is NoListing.REFUSED
