Refuse nothing while capacity is free, though tasks wait

Change: the status also tells the capacity that no run holds; the share that is taken is computed from that. The test fails on the code before.

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -91,6 +91,13 @@
         offered = self.offered_cpu if now < self.offered_until else 0
         return status.free_cpu + offered - self.unseen_cpu
 
+    @property
+    def spare_cpu(self) -> int:
+        """Processors that no run holds, less what is on its way there."""
+        if self.status is None:
+            return 0
+        return max(0, self.status.spare_cpu - self.unseen_cpu)
+
     def fits(self, step: StepSpec, now: float) -> bool:
         """Whether a task of a step has room there."""
         status = self.status
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -178,7 +178,7 @@
             )
         if not usable or self._is_attaching(route.service, now):
             return None
-        if utilisation(usable, now) < FULL_SHARE:
+        if utilisation(usable) < FULL_SHARE:
             return None
         return self._check_wait(request, route, now)
 
@@ -530,7 +530,7 @@
             service = task.job.route.service
             if service not in services:
                 views = [v for v in self._views_of(service) if v.usable(now)]
-                services[service] = views, utilisation(views, now)
+                services[service] = views, utilisation(views)
             views, busy = services[service]
             view = choose_agent(task, views, busy, now)
             if view is None:
--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -25,12 +25,12 @@
 COMFORT = 0.92  # share of the time left that a run on a slow worker may take
 
 
-def utilisation(views: Sequence[AgentView], now: float) -> float:
-    """Return the share of the capacity that is taken."""
+def utilisation(views: Sequence[AgentView]) -> float:
+    """Return the share of the capacity that runs hold."""
     total = sum(v.status.cpu for v in views if v.status is not None)
     if total == 0:
         return 1.0
-    return 1.0 - sum(max(0, v.free_cpu(now)) for v in views) / total
+    return 1.0 - sum(v.spare_cpu for v in views) / total
 
 
 def may_run_at(task: Task, view: AgentView, now: float) -> bool:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -571,6 +571,7 @@
             self._rooms.free_gpu,
             round(self._slowness.factor, 2),
             session.last_dispatch,
+            self._rooms.spare_cpu,
         )
 
     def drained(self) -> bool:
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -139,6 +139,7 @@
     :param free_gpu: accelerators that are free.
     :param slowness: time of runs as a multiple of what was estimated.
     :param last_dispatch: the last order of this entry that is counted in.
+    :param spare_cpu: what no run holds, whether tasks wait for it or not.
     """
 
     worker: str
@@ -152,6 +153,7 @@
     free_gpu: int
     slowness: float
     last_dispatch: int
+    spare_cpu: int = 0
 
 
 class AgentPulse(Message, frozen=True, tag="pulse"):
--- a/packages/briarford/src/briarford/runs/rooms.py
+++ b/packages/briarford/src/briarford/runs/rooms.py
@@ -48,6 +48,11 @@
         offered = sum(cpu for cpu, _ in self._offers.values())
         return max(0, self.capacity.cpu - self.used_cpu - offered)
 
+    @property
+    def spare_cpu(self) -> int:
+        """Processors that no run holds, offered or not."""
+        return max(0, self.capacity.cpu - self.used_cpu)
+
     @property
     def free_memory(self) -> int:
         """Memory that no run holds."""
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -290,3 +290,16 @@
     assert isinstance(outcome, Completed if served else Refused)
     refused = world.submit(entry, request("k")) if not served else None
     assert served or isinstance(refused, Refused)
+
+
+def test_nothing_is_refused_while_capacity_is_free():
+    """A wide task waits for room that it never gets; others still fit."""
+    world = make_world(count=1, entries=2)
+    world.submit(world.entries["e0"], request("long", count=4, work_s=8.0))
+    for n in range(4):
+        world.submit(world.entries["e1"], request(f"{n}", work_s=0.01))
+        world.run(0.5)
+    wide = request("wide", count=1, work_s=4.0, cpu=22000)
+    world.submit(world.entries["e0"], wide)
+    world.run(0.2)
+    assert world.submit(world.entries["e1"], request("j", count=1)) is None
