Own the tasks of a process in one class; keep a wire name in the adapter

The agent and the entry each had the same four functions for their tasks, and the agent called the last acknowledged end by its name on the wire.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -7,8 +7,8 @@
 import dataclasses
 import logging
 import secrets
-from collections.abc import Coroutine, Sequence
-from typing import Any, Protocol
+from collections.abc import Sequence
+from typing import Protocol
 
 from briarford.runs import (
     Attach,
@@ -33,6 +33,7 @@
 from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import AgentRecord, Registration
 from briarford_daemon.fleet.settings import FleetSettings
+from briarford_daemon.fleet.tasks import OwnedTasks
 
 __all__ = ["FleetAgent", "WorkerPort"]
 
@@ -64,7 +65,7 @@
     async def list_runs(
         self,
         worker: WorkerReport,
-        last_seen: int,
+        acked_end: int,
         token: int,
         wait_s: float,
         extend: bool,
@@ -104,7 +105,7 @@
         self._token = 0
         self._fenced = False
         self._links = AgentLinks(self._attach, self._receive, self._closed)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = OwnedTasks()
         self._driver: TurnDriver[AgentEffect] | None = None
         self._registration = Registration(
             store,
@@ -120,10 +121,10 @@
         """Start serving entries and the worker."""
         self._driver = TurnDriver(self.core, self._clock, self._perform)
         await self._links.start(self._cfg.ip, self._cfg.rpc_port)
-        self._spawn(self._registration.run())
+        self._tasks.spawn(self._registration.run())
         for number in range(WATCHERS):
             offset_s = number * LISTING_WAIT_S / WATCHERS
-            self._spawn(self._watch_worker(offset_s))
+            self._tasks.spawn(self._watch_worker(offset_s))
         self._driver.wake()
 
     async def stop(self) -> None:
@@ -138,9 +139,7 @@
         await self._wait_until_drained(deadline)
         if self._driver is not None:
             self._driver.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._links.stop()
         await self._port.close()
 
@@ -188,16 +187,6 @@
         self.core.has_token = True
         self._wake()
 
-    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-
-    def _finished(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            EVENTS.error("task-failed", exc_info=task.exception())
-
     def _wake(self) -> None:
         if self._driver is not None:
             self._driver.wake()
@@ -221,9 +210,9 @@
             case SendToEntry():
                 self._links.send(effect.link, effect.message)
             case PlaceOrder():
-                self._spawn(self._place(effect))
+                self._tasks.spawn(self._place(effect))
             case WithdrawRun():
-                self._spawn(self._withdraw(effect))
+                self._tasks.spawn(self._withdraw(effect))
             case AgentEvent():
                 EVENTS.info(effect.action, extra=effect.fields)
                 if effect.action == "run-ended":
@@ -279,7 +268,7 @@
             self.core.lease_extended(asked_at)
         listing = await self._port.list_runs(
             worker,
-            self.core.last_seen,
+            self.core.acked_end,
             self._token,
             wait_s if self.core.settled else 0.0,
             extend,
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -5,8 +5,7 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from typing import Any
+from collections.abc import Awaitable, Callable, Sequence
 
 from briarford.exceptions import StoreError
 from briarford.outcomes import Outcome
@@ -29,6 +28,7 @@
 from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import CALL_TIMEOUT_S, POLL_S, Directory
 from briarford_daemon.fleet.settings import FleetSettings
+from briarford_daemon.fleet.tasks import OwnedTasks
 
 __all__ = ["FleetEntry"]
 
@@ -70,15 +70,15 @@
         self._read_at = 0.0
         self._links = EntryLinks(self._up, self._receive, self._down)
         self._directory = Directory(store, self.clock, self._listed)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = OwnedTasks()
         self._waiters: dict[str, list[asyncio.Future[Outcome]]] = {}
         self._driver: TurnDriver[EntryEffect] | None = None
 
     async def start(self) -> None:
         """Look for the configuration and for agents."""
         self._driver = TurnDriver(self.core, self.clock, self._perform)
-        self._spawn(self._directory.run())
-        self._spawn(self._follow_configuration())
+        self._tasks.spawn(self._directory.run())
+        self._tasks.spawn(self._follow_configuration())
         self._driver.wake()
 
     @property
@@ -113,9 +113,7 @@
         """Close all connections to agents."""
         if self._driver is not None:
             self._driver.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._links.stop()
 
     async def submit(self, request: JobRequest, route: Route) -> Outcome:
@@ -150,16 +148,6 @@
         self._wake()
         return cancelled
 
-    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-
-    def _finished(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            EVENTS.error("task-failed", exc_info=task.exception())
-
     def _wake(self) -> None:
         if self._driver is not None:
             self._driver.wake()
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/tasks.py
@@ -0,0 +1,37 @@
+"""The tasks of one process, ended together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+__all__ = ["OwnedTasks"]
+
+LOGGER = logging.getLogger("briarford.tasks")
+
+
+class OwnedTasks:
+    """Tasks that run until their owner stops; an error in one is logged."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task."""
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("task-failed", exc_info=task.exception())
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -106,6 +106,9 @@
 
     :param name: of the agent.
     :param incarnation: of this process.
+
+    ``acked_end`` is the number of the worker's last end that was taken in;
+    the worker forgets ends up to it.
     """
 
     def __init__(self, name: str, incarnation: str) -> None:
@@ -113,7 +116,7 @@
         self.incarnation = incarnation
         self.counts: Counter[str] = Counter()
         self.worker: WorkerReport | None = None
-        self.last_seen = 0
+        self.acked_end = 0
         self.stopping = False
         self.has_token = False
         self._rooms = Rooms(Capacity(0, 0, 0))
@@ -175,7 +178,7 @@
         self._health = WorkerHealth()
         self._slowness = Slowness()
         self._rooms = Rooms(report.capacity)
-        self.last_seen = 0
+        self.acked_end = 0
         self._settled = False
         self._answered_at = now
         self._lease_end = 0.0
@@ -199,8 +202,8 @@
         overtaken = requested_at < self._listed_at
         self._listed_at = max(self._listed_at, requested_at)
         for row in sorted(listing.ended, key=lambda r: r.number):
-            if row.number > self.last_seen:
-                self.last_seen = row.number
+            if row.number > self.acked_end:
+                self.acked_end = row.number
                 self._take_end(row, now)
         if overtaken:
             return  # a later listing has told more of what runs
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -128,12 +128,12 @@
         return True
 
     def listing(
-        self, last_seen: int, token: int, lease_end: float | None, now: float
+        self, acked_end: int, token: int, lease_end: float | None, now: float
     ) -> RunListing:
         self.advance(now)
         if token >= self.token:
             self.token = token
-            self.ended = [e for e in self.ended if e.number > last_seen]
+            self.ended = [e for e in self.ended if e.number > acked_end]
             if lease_end is not None:
                 self._extend(lease_end, now)
         rows = tuple(
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -325,8 +325,8 @@
         if extend:
             core.lease_extended(self.now)
         lease_end = self.now + 1.0 if extend else None
-        first = worker.listing(core.last_seen, core.token, lease_end, self.now)
-        seen = core.last_seen
+        first = worker.listing(core.acked_end, core.token, lease_end, self.now)
+        seen = core.acked_end
 
         def answer(listing: Any) -> None:
             if self._alive(node, generation) and worker.up:
