Hold back status messages, and attach an entry to a bounded number of agents

Change: an entry learns the room with the end of its own run; others within a period that grows with their number, at once when room becomes scarce or the speed or readiness changes. The connections are a module of their own. A run teaches the speed from 5% of its progress on, and a slow worker gets a run that fits in 80% of its time.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -10,6 +10,7 @@
 from briarford.exceptions import StoreError
 from briarford.outcomes import Outcome
 from briarford.requests import (
+    AgentAddress,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -166,7 +167,7 @@
             self.core.handle(link, msg, now)
         self._wake()
 
-    def _listed(self, directory: dict[str, str]) -> None:
+    def _listed(self, directory: dict[str, AgentAddress]) -> None:
         self.core.agents_listed(directory, self.clock.now())
         self._wake()
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from briarford.exceptions import StoreError
+from briarford.requests import AgentAddress
 from briarford.runs import WorkerReport
 from briarford.store import Listing, Store
 from briarford_daemon.fleet.clock import BootClock
@@ -146,7 +147,7 @@
         self,
         store: Store,
         clock: BootClock,
-        listed: Callable[[dict[str, str]], None],
+        listed: Callable[[dict[str, AgentAddress]], None],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -167,7 +168,7 @@
             await asyncio.sleep(EARLY_POLL_S if early else POLL_S)
 
 
-def _addresses(listing: Listing) -> dict[str, str]:
+def _addresses(listing: Listing) -> dict[str, AgentAddress]:
     addresses = {}
     for item in listing.items:
         try:
@@ -178,5 +179,7 @@
                 extra={"key": item.key, "error": str(exc)},
             )
             continue
-        addresses[item.key.removeprefix(AGENTS_PREFIX)] = record.address
+        service = record.worker.service if record.worker is not None else ""
+        name = item.key.removeprefix(AGENTS_PREFIX)
+        addresses[name] = AgentAddress(record.address, service)
     return addresses
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -7,12 +7,24 @@
 from briarford.requests.job import StepSpec, Task
 from briarford.runs import Demand, WorkerStatus
 
-__all__ = ["AgentView", "Dispatch", "slowness_of"]
+__all__ = ["AgentAddress", "AgentView", "Dispatch", "slowness_of"]
 
 # A task away from its data takes that many times as long at most.
 REMOTE_FACTOR = 2.0
 
 
+@dataclass(slots=True, frozen=True)
+class AgentAddress:
+    """What the registry holds of an agent.
+
+    :param address: host and port.
+    :param service: that its worker runs; empty if that is not known yet.
+    """
+
+    address: str
+    service: str = ""
+
+
 @dataclass(slots=True, frozen=True)
 class Dispatch:
     """An order to run a task that has not ended.
@@ -38,6 +50,10 @@
 
     :param name: of the agent.
     :param address: where it listens.
+    :param registered_service: what the registry says that its worker runs.
+    :param rank: agents of a lower rank are attached to first.
+    :param dialed_at: when the present attempts to connect began.
+    :param surplus_since: since when the connection has not been needed.
     :param link: the connection in use; None while there is none.
     :param connection: number of the latest connection.
     :param attached: whether the agent has answered on that connection.
@@ -53,11 +69,15 @@
 
     name: str
     address: str
+    registered_service: str = ""
+    rank: int = 0
     listed: bool = True
     link: int | None = None
     connection: int = 0
     dialing: bool = False
     dial_at: float = 0.0
+    dialed_at: float = 0.0
+    surplus_since: float = 0.0
     attached: bool = False
     incarnation: str = ""
     heard_at: float = 0.0
@@ -76,6 +96,13 @@
     unseen_gpu: int = 0
     orphans: list[tuple[float, Dispatch]] = field(default_factory=list)
 
+    @property
+    def service(self) -> str:
+        """The service of its worker; empty if that is not known."""
+        if self.status is not None and self.status.service:
+            return self.status.service
+        return self.registered_service
+
     def usable(self, now: float) -> bool:
         """Whether runs may be asked of it now."""
         status = self.status
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
 from briarford.outcomes import (
@@ -21,14 +22,12 @@
     DrainRate,
     estimate_wait_s,
 )
-from briarford.requests.agents import AgentView, Dispatch
+from briarford.requests.agents import AgentAddress, AgentView, Dispatch
+from briarford.requests.attachments import GONE_S, Attachments
 from briarford.requests.effects import (
-    DialAgent,
-    DropLink,
     EntryEffect,
     EntryEvent,
     JobEnded,
-    SendToAgent,
 )
 from briarford.requests.job import (
     Job,
@@ -42,6 +41,7 @@
     accepts_agent,
     choose_agent,
     fastest_run_s,
+    may_run_at,
     utilisation,
 )
 from briarford.requests.waiting import WaitingTasks
@@ -49,10 +49,8 @@
 from briarford.runs import (
     AgentMessage,
     AgentPulse,
-    Attach,
     Attached,
     Demand,
-    EntryMessage,
     EntryPulse,
     Offer,
     RunEnd,
@@ -61,17 +59,10 @@
     StopRun,
     WorkerStatus,
 )
-from briarford.runs.agent import LEASE_S, PULSE_PERIOD_S, SESSION_TTL_S
+from briarford.runs.agent import PULSE_PERIOD_S
 
 __all__ = ["Dispatcher"]
 
-SILENCE_S = 0.5  # two heartbeats missed: open a new connection
-REDIAL_S = 0.1  # a restarted process is back within half a second
-# A silent agent ends the runs of a session after SESSION_TTL_S; if it is
-# gone itself, the worker's lease lapses, on a clock that may be 2% slow.
-GONE_S = LEASE_S * 1.02 + 0.1
-LOST_S = SESSION_TTL_S + GONE_S
-FORGET_AGENT_S = 30.0
 AVOID_S = 0.3  # after an order that an agent could not carry out
 OFFER_USE_S = 0.04  # shorter than the agent holds an offer
 DEMAND_PERIOD_S = 0.1
@@ -99,8 +90,8 @@
         self.incarnation = incarnation
         self.counts: Counter[str] = Counter()
         self.stop_by: float | None = None
-        self._agents: dict[str, AgentView] = {}
-        self._links: dict[int, AgentView] = {}
+        self._effects: list[EntryEffect] = []
+        self._agents = Attachments(name, incarnation, self._emit)
         self._jobs: dict[str, Job] = {}
         self._answered: dict[str, tuple[float, Outcome]] = {}
         self._waiting = WaitingTasks()
@@ -108,14 +99,12 @@
         self._caution = Caution()
         self._busy_names: Counter[str] = Counter()
         self._last_dispatch = 0
-        self._last_connection = 0
         self._next_pulse = 0.0
         self._turned_at = 0.0
         self._started_at = 0.0
         self._usable_at: dict[str, float] = {}
         self._usable_since: dict[str, float] = {}
         self._place_from = 0.0
-        self._effects: list[EntryEffect] = []
 
     # -- requests -----------------------------------------------------------
 
@@ -161,7 +150,9 @@
             return self._refuse(
                 RefusalReason.UNSUPPORTED, f"not available: {names}", None
             )
-        usable = [v for v in self._views_of(route.service) if v.usable(now)]
+        usable = [
+            v for v in self._agents.of_service(route.service) if v.usable(now)
+        ]
         self._note_usable(route.service, bool(usable), now)
         if not usable and not self._may_return(route.service, now):
             return self._refuse(
@@ -267,64 +258,23 @@
 
     # -- agents -------------------------------------------------------------
 
-    def agents_listed(self, directory: dict[str, str], now: float) -> None:
-        """Take the registered agents, addresses by name."""
-        for name, address in directory.items():
-            view = self._agents.get(name)
-            if view is None:
-                self._agents[name] = AgentView(name, address, heard_at=now)
-                self._log("agent-found", agent=name, address=address)
-            elif view.address != address:
-                self._log("agent-moved", agent=name, address=address)
-                self._close_link(view)
-                view.address = address
-            self._agents[name].listed = True
-        for name, view in self._agents.items():
-            view.listed = name in directory
+    def agents_listed(
+        self, directory: Mapping[str, AgentAddress], now: float
+    ) -> None:
+        """Take the registered agents by name."""
+        self._agents.take_list(directory, now)
 
     def link_up(self, agent: str, link: int, now: float) -> None:
         """Attach on a connection that was dialed."""
-        view = self._agents.get(agent)
-        if view is None:
-            return
-        self._close_link(view)
-        self._last_connection += 1
-        view.dialing = False
-        view.link = link
-        view.connection = self._last_connection
-        view.attached = False
-        view.linked_at = now
-        self._links[link] = view
-        attach = Attach(
-            self.name, self.incarnation, view.connection, view.pulse
-        )
-        self._send(view, attach)
+        self._agents.link_up(agent, link, now)
 
     def link_down(self, agent: str, link: int | None, now: float) -> None:
         """Note that a connection ended or could not be opened."""
-        view = self._agents.get(agent)
-        if view is None:
-            return
-        if link is None:
-            view.dialing = False
-            view.dial_at = now + REDIAL_S
-        elif view.link == link:
-            self._log("agent-disconnected", agent=agent)
-            self._close_link(view)
-            view.dial_at = now
-
-    def _close_link(self, view: AgentView) -> None:
-        if view.link is not None:
-            self._links.pop(view.link, None)
-            self._effects.append(DropLink(view.link))
-        view.link = None
-        view.attached = False
-        view.demand = None
-        view.offered_cpu = 0
+        self._agents.link_down(agent, link, now)
 
     def handle(self, link: int, msg: AgentMessage, now: float) -> None:
         """Take a message of an agent."""
-        view = self._links.get(link)
+        view = self._agents.by_link(link)
         if view is None:
             return
         view.heard_at = now
@@ -346,7 +296,7 @@
     def _attached(self, view: AgentView, msg: Attached, now: float) -> None:
         view.attached = True
         view.pulse = msg.sent_at
-        self._send(view, EntryPulse(view.pulse, view.last_number))
+        self._agents.send(view, EntryPulse(view.pulse, view.last_number))
         if msg.incarnation != view.incarnation:
             if view.incarnation:
                 self._log("agent-restarted", agent=view.name)
@@ -445,14 +395,15 @@
     def _stop_run(self, task: Task) -> None:
         view = self._agents.get(task.agent)
         if view is not None and task.dispatch in view.dispatches:
-            self._send(view, StopRun(task.dispatch))
+            self._agents.send(view, StopRun(task.dispatch))
 
     # -- time ---------------------------------------------------------------
 
     def turn(self, now: float) -> list[EntryEffect]:
         """Decide, and return the effects to perform."""
         self._notice_pause(now)
-        self._watch_agents(now)
+        for view, dispatch in self._agents.review(now):
+            self._settle(view, dispatch, RunEnd.LOST, now)
         if now >= self._place_from:
             self._place_waiting(now)
         self._tell_demand(now)
@@ -476,46 +427,6 @@
             self._place_from = now + CATCH_UP_S
         self._turned_at = now
 
-    def _watch_agents(self, now: float) -> None:
-        for view in list(self._agents.values()):
-            silent_s = now - view.heard_at
-            linked_s = now - view.linked_at
-            if view.link is not None and min(silent_s, linked_s) > SILENCE_S:
-                self._log("agent-silent", agent=view.name)
-                self._close_link(view)
-                view.dial_at = now
-            if silent_s > LOST_S:
-                self._lose_agent(view, now)
-            self._settle_orphans(view, now)
-            idle = not view.dispatches and not view.orphans
-            if not view.listed and silent_s > FORGET_AGENT_S and idle:
-                del self._agents[view.name]
-            elif (
-                view.link is None and not view.dialing and now >= view.dial_at
-            ):
-                view.dialing = True
-                self._effects.append(DialAgent(view.name, view.address))
-
-    def _lose_agent(self, view: AgentView, now: float) -> None:
-        if view.dispatches:
-            self._log("agent-lost", agent=view.name, runs=len(view.dispatches))
-        view.orphan_all(now)
-
-    def _settle_orphans(self, view: AgentView, now: float) -> None:
-        due = [d for at, d in view.orphans if at <= now]
-        if not due:
-            return
-        view.orphans = [o for o in view.orphans if o[0] > now]
-        for dispatch in due:
-            self._settle(view, dispatch, RunEnd.LOST, now)
-
-    def _views_of(self, service: str) -> list[AgentView]:
-        return [
-            v
-            for v in self._agents.values()
-            if v.status is not None and v.status.service == service
-        ]
-
     def _place_waiting(self, now: float) -> None:
         if not self._waiting:
             return
@@ -529,12 +440,18 @@
                 continue  # a former run of it has not been settled yet
             service = task.job.route.service
             if service not in services:
-                views = [v for v in self._views_of(service) if v.usable(now)]
+                views = [
+                    v
+                    for v in self._agents.of_service(service)
+                    if v.usable(now)
+                ]
                 services[service] = views, utilisation(views)
             views, busy = services[service]
             view = choose_agent(task, views, busy, now)
             if view is None:
                 tried += 1
+                able = any(may_run_at(task, v, now) for v in views)
+                self._agents.widen(service, not able, now)
             else:
                 self._place(task, view, now)
                 placed.append(task)
@@ -578,13 +495,13 @@
             step.gpu,
             step.expected_s,
         )
-        self._send(view, order)
+        self._agents.send(view, order)
 
     def _tell_demand(self, now: float) -> None:
         """Tell each agent the most urgent waiting task that it may run."""
         heads = self._heads(now)
-        for view in self._agents.values():
-            if view.link is None or not view.attached:
+        for view in self._agents.linked():
+            if not view.attached:
                 continue
             task = next(
                 (t for t, s in heads if accepts_agent(t, view, s, now)), None
@@ -599,12 +516,12 @@
             view.demand = Demand(cpu, slack_s)
             view.demand_at = now
             view.offered_cpu = 0
-            self._send(view, view.demand)
+            self._agents.send(view, view.demand)
 
     def _heads(self, now: float) -> list[tuple[Task, float]]:
         """Return the first waiting tasks with their shortest run times."""
         heads: list[tuple[Task, float]] = []
-        usable = [v for v in self._agents.values() if v.usable(now)]
+        usable = [v for v in self._agents.linked() if v.usable(now)]
         for task in self._waiting.in_order(now):
             if self._busy_names[task.name]:
                 continue
@@ -640,9 +557,11 @@
         return min(MAX_RETRY_AFTER_S, wait_s)
 
     def _pulse(self, now: float) -> None:
-        for view in self._agents.values():
-            if view.link is not None and view.attached:
-                self._send(view, EntryPulse(view.pulse, view.last_number))
+        for view in self._agents.linked():
+            if view.attached:
+                self._agents.send(
+                    view, EntryPulse(view.pulse, view.last_number)
+                )
         for job_id, (until, _) in list(self._answered.items()):
             if until <= now:
                 del self._answered[job_id]
@@ -652,11 +571,11 @@
     @property
     def can_place(self) -> bool:
         """Whether any agent answers."""
-        return any(v.attached for v in self._agents.values())
+        return any(v.attached for v in self._agents.linked())
 
     def state(self, now: float) -> dict[str, float]:
         """Return what the entry holds now, by kind."""
-        views = self._agents.values()
+        views = list(self._agents)
         return {
             "jobs_open": len(self._jobs),
             "tasks_waiting": len(self._waiting),
@@ -667,9 +586,8 @@
             "wait_caution": self._caution.factor,
         }
 
-    def _send(self, view: AgentView, message: EntryMessage) -> None:
-        if view.link is not None:
-            self._effects.append(SendToAgent(view.link, message))
+    def _emit(self, effect: EntryEffect) -> None:
+        self._effects.append(effect)
 
     def _log_refusal(
         self, request: JobRequest, route: Route, refused: Refused, now: float
--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -22,7 +22,9 @@
 ]
 
 BUSY_SHARE = 0.5  # of the capacity taken; from here on fast workers are kept
-COMFORT = 0.92  # share of the time left that a run on a slow worker may take
+# Share of the time left that a run on a slow worker may take: the speed is
+# learnt from estimates and known to a fifth.
+COMFORT = 0.8
 
 
 def utilisation(views: Sequence[AgentView]) -> float:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -24,6 +24,7 @@
 )
 from briarford.runs.rooms import Rooms
 from briarford.runs.state import Run, RunPhase, Session
+from briarford.runs.status import next_status, status_period_s
 from briarford.runs.worker import (
     Capacity,
     EndedRow,
@@ -57,8 +58,9 @@
 STALL_LISTINGS = 3  # lost answers must not look like a lack of progress
 FORGET_SESSION_S = 30.0
 
-# Less progress is too coarse, given in whole per cent, to tell the speed.
-SAMPLE_PERCENT = 20
+# Progress is given in whole per cent, which is then a tenth off at most: far
+# less than estimates are.
+SAMPLE_PERCENT = 5
 
 _LOST_ENDS = frozenset({"lapsed", "broken", "alone"})
 
@@ -130,6 +132,7 @@
         self._answered_at = 0.0
         self._lease_end = 0.0
         self._next_pulse = 0.0
+        self._status_due: float | None = None
         self._settled = False
         self._listed_at = 0.0
         self._effects: list[AgentEffect] = []
@@ -473,6 +476,7 @@
         session.last_number += 1
         ended = RunEnded(session.last_number, run.dispatch, end, ran_s)
         session.ended.append(ended)
+        session.has_ended = True
         self._send(session, ended)
         self._log(
             "run-ended",
@@ -501,10 +505,8 @@
 
     def next_deadline(self) -> float | None:
         """Return when the next turn is due at the latest."""
-        expiry = self._rooms.next_expiry()
-        if expiry is None:
-            return self._next_pulse
-        return min(expiry, self._next_pulse)
+        dues = (self._next_pulse, self._rooms.next_expiry(), self._status_due)
+        return min(due for due in dues if due is not None)
 
     def _expire_sessions(self, now: float) -> None:
         for session in list(self._sessions.values()):
@@ -549,15 +551,20 @@
         )
 
     def _send_status(self, now: float) -> None:
+        self._status_due = None
+        status = self._status(now)
+        period_s = status_period_s(len(self._links))
         for session in self._sessions.values():
             if session.link is None:
                 continue
-            status = self._status(session, now)
-            if status != session.status_sent:
-                session.status_sent = status
-                self._send(session, status)
-
-    def _status(self, session: Session, now: float) -> WorkerStatus:
+            step = next_status(session, status, period_s, now)
+            if isinstance(step, WorkerStatus):
+                self._send(session, step)
+            elif step is not None:
+                due = self._status_due or step
+                self._status_due = min(due, step)
+
+    def _status(self, now: float) -> WorkerStatus:
         worker = self.worker
         if worker is None:
             return WorkerStatus("", "", "", (), False, 0, 0, 0, 0, 1.0, 0)
@@ -573,7 +580,7 @@
             self._rooms.free_memory,
             self._rooms.free_gpu,
             round(self._slowness.factor, 2),
-            session.last_dispatch,
+            0,
             self._rooms.spare_cpu,
         )
 
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -68,6 +68,9 @@
     :param connection: number of that connection.
     :param held_until: its runs are stopped unless it is heard of by then.
     :param ended: ends that the entry has not acknowledged.
+    :param status_sent: what it was told last of the worker, at
+        ``status_at``, with the orders up to ``dispatch_told`` counted in.
+    :param has_ended: whether a run of it has ended since then.
     """
 
     entry: str
@@ -82,3 +85,6 @@
     demand: Demand | None = None
     start_by: float = 0.0
     status_sent: WorkerStatus | None = None
+    status_at: float = 0.0
+    dispatch_told: int = 0
+    has_ended: bool = False
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_attachments.py
@@ -0,0 +1,120 @@
+"""An entry keeps a bounded number of connections in a large fleet."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.requests import attachments
+from briarford.requests.attachments import MAX_WIDTH, WIDTH
+from briarford.runs import AgentPulse, EntryPulse
+from fleet.worker import StandInWorker
+from fleet.world import World, request
+
+MANY = 60
+NARROW_AFTER_S = 0.5
+
+
+@pytest.fixture(autouse=True)
+def short_bursts(monkeypatch):
+    monkeypatch.setattr(attachments, "NARROW_AFTER_S", NARROW_AFTER_S)
+
+
+def make_world(count: int = MANY, entries: int = 1, **kwargs) -> World:
+    workers = [StandInWorker(f"w{n}", **kwargs) for n in range(count)]
+    world = World(workers, entries)
+    world.run(1.0)
+    return world
+
+
+def attached(world: World, entry: str = "e0") -> set[str]:
+    core = world.entries[entry].core
+    return {v.name for v in core._agents if v.attached}
+
+
+@pytest.mark.parametrize(
+    ("count", "expected"), [(11, 11), (WIDTH, WIDTH), (MANY, WIDTH)]
+)
+def test_an_entry_attaches_to_a_bounded_number_of_agents(count, expected):
+    assert len(attached(make_world(count))) == expected
+
+
+def test_heartbeats_do_not_grow_with_the_fleet():
+    def heartbeats(count: int) -> int:
+        world = make_world(count)
+        began = world.sent.copy()
+        world.run(1.0)
+        kinds = (AgentPulse, EntryPulse)
+        return sum(world.sent[k] - began[k] for k in kinds)
+
+    assert heartbeats(MANY) <= 1.1 * heartbeats(WIDTH)
+
+
+def test_entries_attach_to_different_agents():
+    world = make_world(entries=6)
+    sets = [attached(world, f"e{n}") for n in range(6)]
+    assert len(set.union(*sets)) > 0.8 * MANY
+
+
+@pytest.mark.parametrize("end", ["kill", "power_off"])
+def test_agents_that_are_gone_are_made_up_for(end):
+    world = make_world()
+    gone = sorted(attached(world))[:10]
+    for name in gone:
+        getattr(world, end)(world.agents[name])
+    world.run(1.5)
+    now = attached(world)
+    assert len(now - set(gone)) == WIDTH
+    for name in gone:
+        world.restart_agent(world.agents[name])
+    world.run(2 * NARROW_AFTER_S)
+    assert len(attached(world)) == WIDTH
+
+
+def test_draining_workers_are_made_up_for():
+    world = make_world()
+    for name in sorted(attached(world))[:10]:
+        world.agents[name].core.stopping = True
+    world.run(1.0)
+    entry = world.entries["e0"].core
+    accepting = [v for v in entry._agents if v.usable(world.now)]
+    assert len(accepting) == WIDTH
+
+
+def test_an_entry_without_room_attaches_to_more_agents_for_some_time():
+    world = make_world(cpu=4000)
+    for n in range(2 * WIDTH):
+        world.submit(world.entries["e0"], request(f"j{n}", count=1))
+    world.run(0.7)
+    assert WIDTH < len(attached(world)) <= MAX_WIDTH
+    world.run(5.0)
+    assert len(world.outcomes) == 2 * WIDTH
+    world.run(4 * NARROW_AFTER_S)
+    assert len(attached(world)) == WIDTH
+
+
+def test_runs_keep_their_connection():
+    world = make_world()
+    world.submit(world.entries["e0"], request("long", work_s=3.0))
+    world.run(0.1)
+    busy = next(
+        v.name for v in world.entries["e0"].core._agents if v.dispatches
+    )
+    view = world.entries["e0"].core._agents.get(busy)
+    view.rank = 1 << 64  # not among those that are wanted any more
+    world.run(2 * NARROW_AFTER_S)
+    assert busy in attached(world)
+    world.run(4.0)
+    assert "long" in world.outcomes
+    assert busy not in attached(world)
+
+
+def test_a_worker_outside_the_width_is_found_by_its_label():
+    world = make_world()
+    core = world.entries["e0"].core
+    other = sorted(set(world.agents) - attached(world))[0]
+    world.workers[other].labels = ("rack-9",)
+    world.run(2.0)
+    req = request("j", required_label="rack-9")
+    world.submit(world.entries["e0"], req)
+    world.run(1.5)
+    assert "j" in world.outcomes, core.state(world.now)
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -262,7 +262,7 @@
     world.submit(entry, request("short", work_s=0.1, cpu=20000))
     world.run(0.3)
     # Past its objective it waits behind all that may be in time.
-    assert entry.core._agents["a0"].demand.slack_s > LATE_SLACK_S
+    assert entry.core._agents.get("a0").demand.slack_s > LATE_SLACK_S
     world.run(2.0)
     at, outcome = world.outcomes["short"]
     assert at < 1001.1 + 3 * (1.6 * 0.1 + 0.06) + 0.3
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -6,6 +6,7 @@
 
 from briarford.runs import (
     Attach,
+    EndedRow,
     EntryPulse,
     OrderResult,
     RunAgent,
@@ -14,6 +15,7 @@
     RunListing,
     RunningRow,
     StartRun,
+    WorkerStatus,
 )
 from briarford.runs.agent import PlaceOrder, SendToEntry, WithdrawRun
 from fleet.worker import StandInWorker
@@ -97,3 +99,74 @@
         for e in agent.turn(now)
         if isinstance(e, SendToEntry) and isinstance(e.message, RunEnded)
     ]
+
+
+def _statuses(effects, link: int) -> list[WorkerStatus]:
+    return [
+        e.message
+        for e in effects
+        if isinstance(e, SendToEntry)
+        and e.link == link
+        and isinstance(e.message, WorkerStatus)
+    ]
+
+
+def _play_short_runs(agent: RunAgent, runs: int, gap_s: float) -> list:
+    """Start runs of the first entry one after the other, each ends soon."""
+    effects = []
+    at = NOW
+    for n in range(1, runs + 1):
+        for entry in range(2):
+            agent.handle(entry, EntryPulse(at, 0), at)
+        order = StartRun(n, f"j.0.0.{n}", n, "p", 500, 1, 0, 0.5)
+        agent.handle(0, order, at)
+        effects += agent.turn(at)
+        agent.order_answered(n, OrderResult.STARTED, at)
+        ended = EndedRow(n, f"j.0.0.{n}", n, "done")
+        agent.listing_received(RunListing(1, (), (ended,)), at, at + gap_s / 2)
+        at += gap_s
+        effects += agent.turn(at - gap_s / 2)
+    return effects
+
+
+def test_status_messages_do_not_follow_each_run():
+    """50 runs in a second at a worker with much room."""
+    agent = make_agent("e0", "e1")
+    effects = _play_short_runs(agent, runs=50, gap_s=0.02)
+    assert len(_statuses(effects, 1)) <= 50  # of 100, and few of many
+    assert len(_statuses(effects, 0)) <= 51  # beside the end of a run
+
+
+@pytest.mark.parametrize(
+    ("cpu", "told"),
+    [(500, False), (3000, True), (6000, True)],
+    ids=["a little", "half", "all"],
+)
+def test_other_entries_are_told_at_once_when_room_becomes_scarce(cpu, told):
+    agent = make_agent("e0", "e1")
+    order = StartRun(1, "j.0.0.0", 1, "p", cpu, 1, 0, 0.5)
+    agent.handle(0, order, NOW)
+    assert bool(_statuses(agent.turn(NOW), 1)) is told
+    later = _statuses(agent.turn(NOW + 0.11), 1)
+    assert bool(later) is not told
+
+
+def test_a_status_that_is_held_back_is_sent_without_another_input():
+    agent = make_agent("e0", "e1")
+    order = StartRun(1, "j.0.0.0", 1, "p", 500, 1, 0, 0.5)
+    agent.handle(0, order, NOW)
+    agent.turn(NOW)
+    assert agent.next_deadline() <= NOW + 0.1
+
+
+def test_an_end_is_told_together_with_the_room_it_leaves():
+    agent = make_agent("e0", "e1")
+    order = StartRun(1, "j.0.0.0", 1, "p", 500, 1, 0, 0.5)
+    agent.handle(0, order, NOW)
+    agent.turn(NOW)
+    agent.order_answered(1, OrderResult.STARTED, NOW)
+    ended = EndedRow(1, "j.0.0.0", 1, "done")
+    agent.listing_received(RunListing(1, (), (ended,)), NOW, NOW + 0.01)
+    (status,) = _statuses(agent.turn(NOW + 0.01), 0)
+    assert status.free_cpu == 6000
+    assert status.last_dispatch == 1
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -51,6 +51,7 @@
     cpu: int = 32000
     speed: float = 1.0
     fault: str = ""
+    labels: tuple[str, ...] = ("a", "r1")
     up: bool = True
     born_ms: int = 1
     sequence: int = 0
@@ -73,7 +74,7 @@
             address="10.0.0.1:1",
             zone="a",
             capacity=Capacity(self.cpu, 65536, 0),
-            labels=("a", "r1"),
+            labels=self.labels,
             draining=draining,
             clock_ms=int(now * 1000),
             sequence=self.sequence,
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -4,12 +4,14 @@
 
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from briarford.outcomes import Outcome
 from briarford.requests import (
+    AgentAddress,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -34,6 +36,7 @@
 TICK_S = 0.02
 LISTING_WAIT_S = 0.2
 REPORT_PERIOD_S = 1.5
+LIST_PERIOD_S = 0.5
 ORDER_TIMEOUT_S = 0.2
 
 ROUTE = Route(
@@ -49,9 +52,13 @@
 
 
 def request(
-    job: str, count: int = 2, work_s: float = 0.4, cpu: int = 3100
+    job: str,
+    count: int = 2,
+    work_s: float = 0.4,
+    cpu: int = 3100,
+    required_label: str = "",
 ) -> JobRequest:
-    step = StepSpec(count, cpu, 64, 0, work_s)
+    step = StepSpec(count, cpu, 64, 0, work_s, required_label=required_label)
     return JobRequest(job, "payload", (step,), best_effort=True)
 
 
@@ -90,6 +97,7 @@
         self._order = itertools.count()
         self._numbers = itertools.count(1)
         self.links: dict[int, Link] = {}
+        self.sent: Counter[type] = Counter()
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.refused: dict[str, Outcome] = {}
@@ -141,10 +149,22 @@
         self._tick(node, generation)
 
     def _start_entry(self, node: Node) -> None:
-        directory = {name: f"{name}:1" for name in self.agents}
-        node.core.agents_listed(directory, self.now)
+        self._list_agents(node, node.generation)
         self._tick(node, node.generation)
 
+    def _list_agents(self, entry: Node, generation: int) -> None:
+        """Read the registry, again and again."""
+        if not self._alive(entry, generation):
+            return
+        directory = {}
+        for name, node in self.agents.items():
+            worker = node.core.worker
+            service = worker.service if worker is not None else ""
+            directory[name] = AgentAddress(f"{name}:1", service)
+        if self.now >= entry.frozen_until:
+            entry.core.agents_listed(directory, self.now)
+        self.after(LIST_PERIOD_S, lambda: self._list_agents(entry, generation))
+
     def kill(self, node: Node) -> None:
         """End a process; its connections are reset."""
         self._end(node)
@@ -284,6 +304,7 @@
         link = self.links.get(number)
         if link is None or not link.open:
             return
+        self.sent[type(message)] += 1
         receiver = link.agent if sender is link.entry else link.entry
         if (sender.name, receiver.name) in self.cuts:
             return
