Store a worker's learnt speed, and give no new runs to a silent worker

Cause: a restarted agent learns its worker's speed anew and long tasks go to slow workers meanwhile; a dark worker was given runs for 0.6 s.

Change: the agent's record in the store holds the learnt factor, rewritten when it is off by 15%; three missed listings (0.3 s) end new runs, 0.5 s end renewals of the lease.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -167,11 +167,14 @@
         worker = self.core.worker
         if worker is not None:
             worker = dataclasses.replace(worker, clock_ms=0, sequence=0)
-        return AgentRecord(f"{self._cfg.ip}:{self._cfg.rpc_port}", worker)
+        address = f"{self._cfg.ip}:{self._cfg.rpc_port}"
+        return AgentRecord(address, worker, self.core.recorded_slowness)
 
     def _recalled(self, record: AgentRecord) -> None:
         if record.worker is not None:
-            self.core.worker_recalled(record.worker, self._clock.now())
+            self.core.worker_recalled(
+                record.worker, record.slowness, self._clock.now()
+            )
             self._reported.set()
             self._wake()
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -36,10 +36,12 @@
     :param address: where entries reach it.
     :param worker: its worker, so that the next process of the agent need not
         wait for a heartbeat; without the clock and the sequence number.
+    :param slowness: time of runs there as a multiple of estimates.
     """
 
     address: str
     worker: WorkerReport | None = None
+    slowness: float = 1.0
 
 
 class Registration:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -52,8 +52,10 @@
 LEASE_S = 1.0  # longest lease that workers grant
 CLOCK_DRIFT = 1.02  # a worker's clock may be 2% slow
 LEASE_SLACK_S = 0.05  # for the way of the order and rounding
-# Without an answer for so long the lease is left to lapse.
-SILENCE_S = 0.6
+# Listings are answered ten times a second. A worker that has missed three
+# gets no new runs; after some more its lease is left to lapse.
+SUSPECT_S = 0.3
+SILENCE_S = 0.5
 STALL_S = 0.7  # a healthy task of under a minute gains 1% in that time
 STALL_LISTINGS = 3  # lost answers must not look like a lack of progress
 FORGET_SESSION_S = 30.0
@@ -153,13 +155,22 @@
         self.worker = report
         self._rooms.capacity = report.capacity
 
-    def worker_recalled(self, report: WorkerReport, now: float) -> None:
+    def worker_recalled(
+        self, report: WorkerReport, slowness: float, now: float
+    ) -> None:
         """Take what a former process of this agent knew of the worker.
 
         Its lists confirm it; a heartbeat replaces it.
         """
         if self.worker is None:
             self.worker_reported(report, now)
+        if self.worker is not None and _boot(self.worker) == _boot(report):
+            self._slowness.recall(slowness)
+
+    @property
+    def recorded_slowness(self) -> float:
+        """The learnt time of runs, as a multiple of estimates, to store."""
+        return self._slowness.recorded
 
     def worker_left(self, worker: str, now: float) -> None:
         """Take the sign-off of a worker; nothing runs on it any more."""
@@ -434,7 +445,7 @@
             return False
         if self._health.on_probation and self._runs:
             return False
-        return self.may_extend_lease(now)
+        return now - self._answered_at < SUSPECT_S
 
     # -- ends ---------------------------------------------------------------
 
--- a/packages/briarford/src/briarford/runs/health.py
+++ b/packages/briarford/src/briarford/runs/health.py
@@ -23,6 +23,8 @@
 SHIFT = math.log(1.7)
 SHIFT_SAMPLES = 4
 SLOWNESS_RANGE = (0.1, 15.0)
+# A stored factor is replaced once it is off by so much.
+RECORD_CHANGE = math.log(1.15)
 
 
 class Slowness:
@@ -32,10 +34,11 @@
     logarithms, fast at first, and starts anew once all samples disagree.
     """
 
-    __slots__ = ("_count", "_mean", "_recent")
+    __slots__ = ("_count", "_mean", "_recent", "_recorded")
 
     def __init__(self) -> None:
         self._mean = 0.0
+        self._recorded = 0.0
         self._count = 0
         self._recent: deque[float] = deque(maxlen=SHIFT_SAMPLES)
 
@@ -44,6 +47,22 @@
         """The learnt multiple; 1.0 before any run."""
         return math.exp(self._mean)
 
+    @property
+    def recorded(self) -> float:
+        """The factor to store; it changes seldom."""
+        enough = self._count >= SHIFT_SAMPLES
+        if enough and abs(self._mean - self._recorded) > RECORD_CHANGE:
+            self._recorded = self._mean
+        return round(math.exp(self._recorded), 2)
+
+    def recall(self, factor: float) -> None:
+        """Take a stored factor, if nothing is known."""
+        low, high = SLOWNESS_RANGE
+        if not self._count and factor != 1.0:
+            self._mean = math.log(min(high, max(low, factor)))
+            self._recorded = self._mean
+            self._count = SHIFT_SAMPLES
+
     def observe(self, ratio: float) -> None:
         """Take a sample of run time over expected run time."""
         low, high = SLOWNESS_RANGE
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from briarford.runs import (
@@ -18,6 +20,7 @@
     WorkerStatus,
 )
 from briarford.runs.agent import PlaceOrder, SendToEntry, WithdrawRun
+from briarford.runs.health import Slowness
 from fleet.worker import StandInWorker
 
 NOW = 1000.0
@@ -170,3 +173,48 @@
     (status,) = _statuses(agent.turn(NOW + 0.01), 0)
     assert status.free_cpu == 6000
     assert status.last_dispatch == 1
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "accepting"), [(0.2, True), (0.35, False)]
+)
+def test_a_worker_that_misses_answers_gets_no_new_runs(silent_s, accepting):
+    agent = make_agent("e")
+    assert agent.accepting(NOW + silent_s) is accepting
+    assert agent.may_extend_lease(NOW + silent_s)
+
+
+def test_a_new_process_of_an_agent_knows_the_speed_of_its_worker():
+    agent = make_agent("e")
+    for n in range(1, 9):
+        agent.handle(0, EntryPulse(NOW + n, 0), NOW + n)
+        order = StartRun(n, f"j.0.0.{n}", n, "p", 500, 1, 0, 0.5)
+        agent.handle(0, order, NOW + n)
+        agent.turn(NOW + n)
+        agent.order_answered(n, OrderResult.STARTED, NOW + n)
+        ended = EndedRow(n, f"j.0.0.{n}", n, "done")
+        listing = RunListing(1, (), (ended,))
+        agent.listing_received(listing, NOW + n, NOW + n + 0.9)
+    assert agent.recorded_slowness == pytest.approx(1.8)
+    report = agent.worker
+    heir = RunAgent("a", "i2")
+    heir.worker_recalled(report, agent.recorded_slowness, NOW)
+    assert heir.state(NOW)["worker_slowness"] == pytest.approx(1.8)
+
+
+def test_another_boot_of_the_worker_is_learnt_anew():
+    agent = make_agent("e")
+    other = dataclasses.replace(agent.worker, born_ms=2)
+    agent.worker_reported(other, NOW)
+    agent.worker_recalled(dataclasses.replace(other, born_ms=1), 1.8, NOW)
+    assert agent.state(NOW)["worker_slowness"] == 1.0
+
+
+def test_a_stored_speed_is_not_rewritten_for_scatter():
+    slowness = Slowness()
+    for ratio in (1.8, 1.9, 1.7, 1.8):
+        slowness.observe(ratio)
+    stored = slowness.recorded
+    for ratio in (1.7, 2.0, 1.6, 2.1, 1.5, 2.2):
+        slowness.observe(ratio)
+        assert slowness.recorded == stored
