Add briarford explain, which tells the story of one job from logs

On-call engineers had to sort lines of several files by hand. The command puts the lines of a job in order, adds what befell its processes meanwhile and names what the logs do not tell.

--- /dev/null
+++ b/packages/briarford-cli/tests/test_explain.py
@@ -0,0 +1,170 @@
+"""The story of a job from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from briarford_cli.main import app
+from briarford_cli.story import read_lines, tell_story
+
+JOB = "5c0e"
+TASK = f"{JOB}.0.0.0"
+
+
+def line(at: float, process: str, event: str, **fields) -> str:
+    frame = {"time": at, "level": "INFO", "name": "briarford.decision"}
+    return json.dumps(
+        {**frame, "message": event, "process": process, **fields}
+    )
+
+
+ACCEPTED = line(10.0, "e1", "accepted", job=JOB, tasks=1)
+PLACED = line(10.1, "e1", "placed", task=TASK, run=7, agent="a1")
+RUN_LOST = line(10.6, "a1", "run-ended", task=TASK, run=7, how="lost")
+RUN_DONE = line(10.6, "a1", "run-ended", task=TASK, run=7, how="done")
+ENDED = line(10.7, "e1", "job-ended", job=JOB, outcome="completed")
+REFUSED = line(10.0, "e1", "refused", job=JOB, reason="workers-lost")
+SILENT = line(10.4, "a1", "worker-silent", runs=3)
+SILENT_ELSEWHERE = line(10.4, "a2", "worker-silent", runs=3)
+SILENT_LATER = line(20.0, "a1", "worker-silent", runs=3)
+OTHER_JOB = line(10.2, "e1", "accepted", job="5c0f", tasks=1)
+
+
+@pytest.mark.parametrize(
+    ("lines", "outcome", "events", "gaps"),
+    [
+        pytest.param(
+            [RUN_DONE, ACCEPTED, PLACED, OTHER_JOB, ENDED],
+            "completed",
+            "accepted placed run-ended job-ended",
+            [],
+            id="whole, with the log of the agent first",
+        ),
+        pytest.param([REFUSED], "refused", "refused", [], id="refused"),
+        pytest.param(
+            [ACCEPTED, PLACED, SILENT, RUN_LOST, ENDED],
+            "completed",
+            "accepted placed worker-silent run-ended job-ended",
+            [],
+            id="with what befell its worker",
+        ),
+        pytest.param(
+            [
+                ACCEPTED,
+                PLACED,
+                SILENT_ELSEWHERE,
+                RUN_DONE,
+                ENDED,
+                SILENT_LATER,
+            ],
+            "completed",
+            "accepted placed run-ended job-ended",
+            [],
+            id="without what befell others or came later",
+        ),
+        pytest.param(
+            [ACCEPTED, PLACED, ENDED],
+            "completed",
+            "accepted placed job-ended",
+            ["has no end: the log of 'a1'"],
+            id="agent's log missing",
+        ),
+        pytest.param(
+            [RUN_DONE],
+            "",
+            "run-ended",
+            ["no 'accepted'", "no 'job-ended'", "was ordered by"],
+            id="entry's log missing",
+        ),
+        pytest.param(
+            [ACCEPTED, PLACED, RUN_DONE],
+            "",
+            "accepted placed run-ended",
+            ["no 'job-ended'"],
+            id="entry killed",
+        ),
+        pytest.param([OTHER_JOB], "", "", ["no line names"], id="unknown"),
+        pytest.param(
+            [
+                ACCEPTED,
+                line(10.05, "e1", "link-lost", suppressed=12),
+                PLACED,
+                RUN_DONE,
+                ENDED,
+            ],
+            "completed",
+            "accepted placed run-ended job-ended",
+            ["'e1' left out 12 lines"],
+            id="suppressed lines",
+        ),
+        pytest.param(
+            [
+                ACCEPTED,
+                PLACED,
+                RUN_DONE,
+                ENDED,
+                line(7.0, "e1", "accepted", job="5c0f"),
+            ],
+            "completed",
+            "accepted placed run-ended job-ended",
+            ["the clock of 'e1' went back by 3.7 s"],
+            id="clock set back",
+        ),
+    ],
+)
+def test_story(lines, outcome, events, gaps):
+    story = tell_story(JOB, read_lines(lines))
+    assert story.outcome == outcome
+    assert " ".join(n.event for n in story.events) == events
+    assert len(story.gaps) == len(gaps)
+    assert all(part in gap for part, gap in zip(gaps, story.gaps, strict=True))
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "no JSON", "{broken", '{"time": 1}', '{"time": "x"}', "[1]"],
+)
+def test_lines_of_other_programs_are_left_out(text):
+    assert read_lines([text]) == []
+
+
+def test_what_a_collector_puts_before_a_line_is_skipped():
+    (found,) = read_lines([f"12.3 front-1 | {ACCEPTED}"])
+    assert found.event == "accepted"
+
+
+@pytest.mark.parametrize(
+    ("job", "status"), [(JOB, 0), ("other", 1)], ids=["found", "not found"]
+)
+def test_command_prints_json_and_tells_by_its_status(
+    job, status, tmp_path, capsys
+):
+    paths = [tmp_path / "entry.log", tmp_path / "agent.log"]
+    paths[0].write_text(f"{ACCEPTED}\n{PLACED}\n{ENDED}\n")
+    paths[1].write_text(f"{RUN_DONE}\n")
+    logs = [arg for path in paths for arg in ("--logs", str(path))]
+    with pytest.raises(SystemExit) as caught:
+        app(["explain", job, *logs, "--format", "json"])
+    assert (caught.value.code or 0) == status
+    told = json.loads(capsys.readouterr().out)
+    assert told["job"] == job
+    assert [e["event"] for e in told["events"]] == (
+        ["accepted", "placed", "run-ended", "job-ended"] if not status else []
+    )
+
+
+def test_command_prints_a_table(tmp_path, capsys):
+    path = tmp_path / "all.log"
+    path.write_text("\n".join([ACCEPTED, PLACED, ENDED]))
+    with pytest.raises(SystemExit):
+        app(["explain", JOB, "--logs", str(path)])
+    out = capsys.readouterr().out
+    assert f"job {JOB}: completed" in out
+    assert "gap: run 7" in out
+
+
+def test_command_names_a_file_that_cannot_be_read(tmp_path):
+    with pytest.raises(Exception, match="cannot read"):
+        app(["explain", JOB, "--logs", str(tmp_path / "none")])
