--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -103,7 +103,7 @@
         self.stopping = True
         now = self.clock.now()
         stop_by = now + self._cfg.stop_within_s - STOP_RESERVE_S
-        self.core.stop_by = stop_by
+        self.core.stop_by(stop_by)
         while self.clock.now() < stop_by:
             await asyncio.sleep(STOP_POLL_S)
             stayed = self.clock.now() >= now + STAY_S
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -11,17 +11,10 @@
     Failed,
     FailureReason,
     Outcome,
-    RefusalReason,
     Refused,
     Step,
 )
-from briarford.requests.admission import (
-    MAX_RETRY_AFTER_S,
-    MIN_RETRY_AFTER_S,
-    Caution,
-    DrainRate,
-    estimate_wait_s,
-)
+from briarford.requests.admission import Admission
 from briarford.requests.agents import AgentAddress, AgentView, Dispatch
 from briarford.requests.attachments import GONE_S, Attachments
 from briarford.requests.effects import (
@@ -34,7 +27,6 @@
     JobRequest,
     Task,
     TaskPhase,
-    longest_chain_s,
     make_job,
 )
 from briarford.requests.placing import (
@@ -66,10 +58,7 @@
 AVOID_S = 0.3  # after an order that an agent could not carry out
 OFFER_USE_S = 0.04  # shorter than the agent holds an offer
 DEMAND_PERIOD_S = 0.1
-# A process is up half a second after its VM, and attached soon after.
-ATTACH_S = 1.0
 LATE_SLACK_S = 100.0  # longer than any task may wait
-FULL_SHARE = 0.85  # with more of the capacity free nothing is refused
 # A turn is due five times a second: after so long a pause the process was
 # frozen, and what its sockets got meanwhile is read before anything starts.
 PAUSE_S = 0.6
@@ -89,21 +78,16 @@
         self.name = name
         self.incarnation = incarnation
         self.counts: Counter[str] = Counter()
-        self.stop_by: float | None = None
         self._effects: list[EntryEffect] = []
         self._agents = Attachments(name, incarnation, self._emit)
         self._jobs: dict[str, Job] = {}
         self._answered: dict[str, tuple[float, Outcome]] = {}
         self._waiting = WaitingTasks()
-        self._drain = DrainRate()
-        self._caution = Caution()
+        self._admission = Admission(name, self._waiting)
         self._busy_names: Counter[str] = Counter()
         self._last_dispatch = 0
         self._next_pulse = 0.0
         self._turned_at = 0.0
-        self._started_at = 0.0
-        self._usable_at: dict[str, float] = {}
-        self._usable_since: dict[str, float] = {}
         self._place_from = 0.0
 
     # -- requests -----------------------------------------------------------
@@ -121,12 +105,15 @@
             return answered[1]
         if request.job in self._jobs:
             return None
-        refused = self._check(request, route, now)
+        usable = [
+            v for v in self._agents.of_service(route.service) if v.usable(now)
+        ]
+        refused = self._admission.check(request, route, usable, now)
         if refused is not None:
             self._log_refusal(request, route, refused, now)
             return refused
         job = make_job(request, route, now)
-        job.estimated = not self._is_attaching(route.service, now)
+        job.estimated = not self._admission.is_attaching(route.service, now)
         self._jobs[request.job] = job
         self.counts["accepted"] += 1
         self._log(
@@ -142,85 +129,6 @@
             self._end_job(job, Completed(()), now)
         return None
 
-    def _check(
-        self, request: JobRequest, route: Route, now: float
-    ) -> Refused | None:
-        if request.unsupported or not request.best_effort:
-            names = ", ".join(request.unsupported) or "stored jobs"
-            return self._refuse(
-                RefusalReason.UNSUPPORTED, f"not available: {names}", None
-            )
-        usable = [
-            v for v in self._agents.of_service(route.service) if v.usable(now)
-        ]
-        self._note_usable(route.service, bool(usable), now)
-        if not usable and not self._may_return(route.service, now):
-            return self._refuse(
-                RefusalReason.WORKERS_LOST,
-                f"no worker of '{route.service}' takes tasks now",
-                now + 1.0,
-            )
-        chain_s = longest_chain_s(request.steps)
-        if self.stop_by is not None and now + 2 * chain_s > self.stop_by:
-            return self._refuse(
-                RefusalReason.STOPPING,
-                "the entry stops; another one takes the request",
-                now + MIN_RETRY_AFTER_S,
-            )
-        if not usable or self._is_attaching(route.service, now):
-            return None
-        if utilisation(usable) < FULL_SHARE:
-            return None
-        return self._check_wait(request, route, now)
-
-    def _note_usable(self, service: str, usable: bool, now: float) -> None:
-        last = self._usable_at.get(service, 0.0)
-        if not usable:
-            return
-        if now - last > ATTACH_S:
-            self._usable_since[service] = now
-        self._usable_at[service] = now
-
-    def _is_attaching(self, service: str, now: float) -> bool:
-        """Whether workers have come back too lately to estimate waits."""
-        return now - self._usable_since.get(service, now) < ATTACH_S
-
-    def _may_return(self, service: str, now: float) -> bool:
-        """Whether workers of a service are about to be found, or were just.
-
-        After a common restart entries are up before agents; what arrives
-        meanwhile waits, as workers come within its objective.
-        """
-        since = max(self._started_at, self._usable_at.get(service, 0.0))
-        return now - since < ATTACH_S
-
-    def _check_wait(
-        self, request: JobRequest, route: Route, now: float
-    ) -> Refused | None:
-        """Refuse what would wait too long behind more urgent work."""
-        chain_s = longest_chain_s(request.steps)
-        slack_s = route.stretch * chain_s + route.target_s - chain_s
-        ahead = self._waiting.work_before(now + slack_s, now)
-        own = sum(s.count * s.cpu * s.expected_s for s in request.steps)
-        wait_s = self._caution.factor * estimate_wait_s(
-            ahead + own, self._drain.per_s(now)
-        )
-        if wait_s <= slack_s:
-            return None
-        retry_in_s = min(
-            MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s - slack_s)
-        )
-        return self._refuse(
-            RefusalReason.DEADLINE_UNREACHABLE,
-            "the work that waits already does not leave enough time",
-            now + retry_in_s,
-        )
-
-    def _refuse(
-        self, reason: RefusalReason, detail: str, retry_at: float | None
-    ) -> Refused:
-        return Refused(reason, detail, Step.ADMIT, self.name, retry_at)
-
     def cancel(self, job_id: str, now: float) -> bool:
         """Cancel a job whose client has left; False if there is none."""
         job = self._jobs.get(job_id)
@@ -243,6 +151,10 @@
             for j in self._jobs.values()
         )
 
+    def stop_by(self, deadline: float) -> None:
+        """Refuse from now on what may not end by a deadline."""
+        self._admission.stop_by = deadline
+
     @property
     def open_jobs(self) -> int:
         """Jobs without an outcome."""
@@ -339,7 +251,7 @@
             "run-not-done", task=task.name, agent=view.name, how=how.value
         )
         if how is RunEnd.NO_ROOM:
-            self._drain.bounced(_work(task))
+            self._admission.task_bounced(_work(task))
         if how in _FAULTS:
             task.avoided.add(view.name)
         if how in _BACK_OFF:
@@ -419,8 +331,7 @@
         return self._next_pulse
 
     def _notice_pause(self, now: float) -> None:
-        if not self._started_at:
-            self._started_at = now
+        self._admission.begin(now)
         paused_s = now - self._turned_at
         if self._turned_at and paused_s > PAUSE_S:
             self._log("paused", paused_ms=round(paused_s * 1000))
@@ -471,9 +382,9 @@
         view.add(dispatch)
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
         self._busy_names[task.name] += 1
-        if task.job.estimated:
-            self._caution.placed(late=now > task.start_by)
-        self._drain.started(_work(task), now)
+        self._admission.task_started(
+            _work(task), now > task.start_by, task.job.estimated, now
+        )
         task.job.started = True
         status = view.status
         self._log(
@@ -544,18 +455,9 @@
             if not task.job.started and _is_useless(task, now)
         }
         for job in late.values():
-            refused = self._refuse(
-                RefusalReason.DEADLINE_UNREACHABLE,
-                "no worker had room in time",
-                now + max(MIN_RETRY_AFTER_S, self._longest_wait_s(now)),
-            )
+            refused = self._admission.refuse_late(now)
             self._end_job(job, refused, now, remember=False)
 
-    def _longest_wait_s(self, now: float) -> float:
-        """Return how long all work that waits takes to be started."""
-        wait_s = estimate_wait_s(self._waiting.work, self._drain.per_s(now))
-        return min(MAX_RETRY_AFTER_S, wait_s)
-
     def _pulse(self, now: float) -> None:
         for view in self._agents.linked():
             if view.attached:
@@ -583,7 +485,7 @@
             "agents_known": len(self._agents),
             "agents_attached": sum(v.attached for v in views),
             "agents_usable": sum(v.usable(now) for v in views),
-            "wait_caution": self._caution.factor,
+            "wait_caution": self._admission.caution,
         }
 
     def _emit(self, effect: EntryEffect) -> None:
@@ -600,7 +502,7 @@
             reason=refused.reason.value,
             waiting=len(self._waiting),
             waiting_core_s=round(self._waiting.work / 1000, 1),
-            drain_cores=round(self._drain.per_s(now) / 1000, 1),
+            drain_cores=round(self._admission.drain_per_s(now) / 1000, 1),
         )
 
     def _log(self, action: str, **fields: Any) -> None:
