Go on numbering ends when an agent has forgotten the session of an entry

Cause: an agent forgets a session 30 s after its last connection; the next one numbered its ends from 1, which the entry took for repeats, so its tasks never ended. The entry now says up to which number ends have arrived when it attaches.

--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -155,7 +155,11 @@
         view.linked_at = now
         self._links[link] = view
         attach = Attach(
-            self._entry, self._incarnation, view.connection, view.pulse
+            self._entry,
+            self._incarnation,
+            view.connection,
+            view.pulse,
+            view.last_number,
         )
         self.send(view, attach)
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -347,6 +347,7 @@
             session = Session(
                 msg.entry, msg.incarnation, link, msg.connection, 0.0
             )
+            session.last_number = msg.acked
             self._sessions[msg.entry] = session
             self._log("session-opened", entry=msg.entry)
         elif msg.connection <= session.connection:
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -46,12 +46,15 @@
     :param incarnation: of the entry; a new one ends the runs of the former.
     :param connection: rises with each connection of an incarnation.
     :param echo: as in :class:`EntryPulse`.
+    :param acked: likewise; an agent that has forgotten the session goes on
+        from this number.
     """
 
     entry: str
     incarnation: str
     connection: int
     echo: float
+    acked: int = 0
 
 
 class StartRun(Message, frozen=True, tag="start"):
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -6,6 +6,7 @@
 
 from briarford.outcomes import Completed, Failed, Refused
 from briarford.requests.dispatcher import LATE_SLACK_S
+from briarford.runs.agent import FORGET_SESSION_S
 from fleet.worker import StandInWorker
 from fleet.world import World, request
 
@@ -303,3 +304,19 @@
     world.submit(world.entries["e0"], wide)
     world.run(0.2)
     assert world.submit(world.entries["e1"], request("j", count=1)) is None
+
+
+def test_ends_count_after_an_agent_has_forgotten_the_session():
+    """The connection is gone for longer than the agent keeps a session."""
+    world = make_world(count=1, entries=1)
+    entry = world.entries["e0"]
+    world.submit(entry, request("before"))
+    world.run(1.0)
+    world.cut("e0", "a0")
+    world.run(FORGET_SESSION_S + 3.0)
+    assert not world.agents["a0"].core.state(world.now)["sessions"]
+    world.heal()
+    world.run(1.5)
+    world.submit(entry, request("after"))
+    world.run(1.0)
+    assert isinstance(world.outcomes["after"][1], Completed)
