--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -183,6 +183,8 @@
         chain_s = longest_chain_s(request.steps)
         slack_s = route.stretch * chain_s + route.target_s - chain_s
         ahead = self._waiting.work_before(now + slack_s, now)
+        if ahead <= 0.0:
+            return None
         own = sum(s.count * s.cpu * s.expected_s for s in request.steps)
         wait_s = self._caution.factor * estimate_wait_s(
             ahead + own, self._drain.per_s(now)
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_admission.py
@@ -0,0 +1,75 @@
+"""Single decisions on taking requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.outcomes import RefusalReason
+from briarford.requests.admission import Admission
+from briarford.requests.agents import AgentView
+from briarford.requests.job import make_job
+from briarford.requests.waiting import WaitingTasks
+from briarford.runs import WorkerStatus
+from fleet.world import ROUTE, request
+
+NOW = 1000.0
+CPU = 32000
+
+
+def view(spare_cpu: int) -> AgentView:
+    status = WorkerStatus(
+        "w", "desk", "a", (), True, CPU, spare_cpu, 65536, 0, 1.0, 0, spare_cpu
+    )
+    return AgentView("a", "a:1", link=1, attached=True, status=status)
+
+
+def make_admission(drain_core_s: float, waiting: int) -> Admission:
+    """Return the state of an entry whose workers are there for long.
+
+    :param drain_core_s: work that it has started in the last second.
+    :param waiting: more urgent jobs of two tasks that wait, 2.5 core-s each.
+    """
+    tasks = WaitingTasks()
+    for n in range(waiting):
+        for task in make_job(request(f"w{n}"), ROUTE, NOW - 0.05).tasks:
+            tasks.add(task)
+    admission = Admission("e", tasks)
+    admission.begin(NOW - 60.0)
+    for n in range(30):
+        admission.check(request("j"), ROUTE, [view(CPU)], NOW - 15.0 + n / 2)
+    admission.task_started(drain_core_s * 1000, False, False, NOW - 0.5)
+    return admission
+
+
+@pytest.mark.parametrize(
+    ("spare_cpu", "drain_core_s", "waiting", "refused"),
+    [
+        pytest.param(CPU, 1.0, 9, False, id="capacity is free"),
+        pytest.param(0, 50.0, 1, False, id="short queue"),
+        pytest.param(0, 5.0, 9, True, id="long queue"),
+        pytest.param(0, 1.0, 0, False, id="few requests so far, no queue"),
+    ],
+)
+def test_refusal_by_the_work_that_waits(
+    spare_cpu, drain_core_s, waiting, refused
+):
+    """An entry with little traffic starts little, not for lack of room."""
+    admission = make_admission(drain_core_s, waiting)
+    found = admission.check(
+        request("new", count=8), ROUTE, [view(spare_cpu)], NOW
+    )
+    assert (found is not None) is refused
+    if found is not None:
+        assert found.reason is RefusalReason.DEADLINE_UNREACHABLE
+        assert found.retry_at is not None
+        assert found.retry_at > NOW
+
+
+def test_a_stopping_entry_takes_what_it_can_still_end():
+    admission = make_admission(10.0, 0)
+    admission.stop_by = NOW + 1.0
+    views = [view(CPU)]
+    assert admission.check(request("s", work_s=0.4), ROUTE, views, NOW) is None
+    found = admission.check(request("l", work_s=0.6), ROUTE, views, NOW)
+    assert found is not None
+    assert found.reason is RefusalReason.STOPPING
