--- a/packages/briarford-daemon/src/briarford_daemon/fleet/__init__.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/__init__.py
@@ -1,7 +1,5 @@
-"""Entries and agents that run tasks under the leases of workers."""
+"""Entries and agents that run tasks under the leases of workers.
 
-from briarford_daemon.fleet.agent import FleetAgent, WorkerPort
-from briarford_daemon.fleet.entry import FleetEntry
-from briarford_daemon.fleet.settings import FleetSettings
-
-__all__ = ["FleetAgent", "FleetEntry", "FleetSettings", "WorkerPort"]
+A process has one of the two roles and imports the modules of that role only:
+it is to serve again within half a second of a restart.
+"""
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -127,6 +127,10 @@
             self._tasks.spawn(self._watch_worker(offset_s))
         self._driver.wake()
 
+    def apply(self, cfg: FleetSettings) -> None:
+        """Take changed settings."""
+        self._cfg = cfg
+
     async def stop(self) -> None:
         """Take no new runs, and let those in progress end.
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -10,7 +10,6 @@
 from briarford.exceptions import StoreError
 from briarford.outcomes import Outcome
 from briarford.requests import (
-    AgentAddress,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -21,7 +20,7 @@
 )
 from briarford.requests.effects import EntryEffect
 from briarford.routes import Configuration, ConfigurationHolder, Route
-from briarford.runs import AgentMessage
+from briarford.runs import AgentAddress, AgentMessage
 from briarford.store import Store
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.driver import TurnDriver
@@ -82,6 +81,10 @@
         self._tasks.spawn(self._follow_configuration())
         self._driver.wake()
 
+    def apply(self, cfg: FleetSettings) -> None:
+        """Take changed settings."""
+        self._cfg = cfg
+
     @property
     def ready(self) -> bool:
         """Whether new connections should come here."""
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -9,8 +9,7 @@
 import msgspec
 
 from briarford.exceptions import StoreError
-from briarford.requests import AgentAddress
-from briarford.runs import WorkerReport
+from briarford.runs import AgentAddress, WorkerReport
 from briarford.store import Listing, Store
 from briarford_daemon.fleet.clock import BootClock
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -36,7 +37,7 @@
     health: str = ""
     metrics_port: int = 9464
     stop_within_s: float = 6.0
-    log_level: str = "info"
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
--- a/packages/briarford/src/briarford/requests/__init__.py
+++ b/packages/briarford/src/briarford/requests/__init__.py
@@ -1,6 +1,5 @@
 """Requests that an entry answers once all their tasks have ended."""
 
-from briarford.requests.agents import AgentAddress
 from briarford.requests.dispatcher import Dispatcher
 from briarford.requests.effects import (
     DialAgent,
@@ -12,7 +11,6 @@
 from briarford.requests.job import JobRequest, StepSpec
 
 __all__ = [
-    "AgentAddress",
     "DialAgent",
     "Dispatcher",
     "DropLink",
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -7,24 +7,12 @@
 from briarford.requests.job import StepSpec, Task
 from briarford.runs import Demand, WorkerStatus
 
-__all__ = ["AgentAddress", "AgentView", "Dispatch", "slowness_of"]
+__all__ = ["AgentView", "Dispatch", "slowness_of"]
 
 # A task away from its data takes that many times as long at most.
 REMOTE_FACTOR = 2.0
 
 
-@dataclass(slots=True, frozen=True)
-class AgentAddress:
-    """What the registry holds of an agent.
-
-    :param address: host and port.
-    :param service: that its worker runs; empty if that is not known yet.
-    """
-
-    address: str
-    service: str = ""
-
-
 @dataclass(slots=True, frozen=True)
 class Dispatch:
     """An order to run a task that has not ended.
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from briarford.requests.agents import AgentAddress, AgentView, Dispatch
+from briarford.requests.agents import AgentView, Dispatch
 from briarford.requests.effects import (
     DialAgent,
     DropLink,
@@ -21,7 +21,7 @@
     EntryEvent,
     SendToAgent,
 )
-from briarford.runs import Attach, EntryMessage
+from briarford.runs import AgentAddress, Attach, EntryMessage
 from briarford.runs.agent import LEASE_S, SESSION_TTL_S
 
 __all__ = ["GONE_S", "MAX_WIDTH", "WIDTH", "Attachments"]
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -15,7 +15,7 @@
     Step,
 )
 from briarford.requests.admission import Admission
-from briarford.requests.agents import AgentAddress, AgentView, Dispatch
+from briarford.requests.agents import AgentView, Dispatch
 from briarford.requests.attachments import GONE_S, Attachments
 from briarford.requests.effects import (
     EntryEffect,
@@ -39,6 +39,7 @@
 from briarford.requests.waiting import WaitingTasks
 from briarford.routes import Route
 from briarford.runs import (
+    AgentAddress,
     AgentMessage,
     AgentPulse,
     Attached,
--- a/packages/briarford/src/briarford/runs/__init__.py
+++ b/packages/briarford/src/briarford/runs/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from briarford.runs.agent import RunAgent
+from briarford.runs.directory import AgentAddress
 from briarford.runs.messages import (
     AgentBatch,
     AgentMessage,
@@ -33,6 +34,7 @@
 )
 
 __all__ = [
+    "AgentAddress",
     "AgentBatch",
     "AgentMessage",
     "AgentPulse",
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -11,7 +11,6 @@
 
 from briarford.outcomes import Outcome
 from briarford.requests import (
-    AgentAddress,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -22,7 +21,7 @@
     StepSpec,
 )
 from briarford.routes import Route
-from briarford.runs import Attach, OrderResult, RunAgent
+from briarford.runs import AgentAddress, Attach, OrderResult, RunAgent
 from briarford.runs.agent import (
     AgentEvent,
     PlaceOrder,
