Settle the runs of a rebooted worker by the lists of its new boot

The agent counted all runs as lost with that heartbeat, though one had just started on the new boot, and the entry started the task a second time: two runs at once.

Change: at a new boot the runs are withdrawn from it and end once its lists show it. A listing of a later boot counts as its first heartbeat, which comes up to 1.5 s later. A worker's learnt speed fades without samples: one that was slow for a while got no run again. Speeds that differ by less than a tenth count as equal.

Tests for the rows of docs/FAULTS-PLATFORM.md that had none: slow workers, drains, another address, broken connections, flapping, processes with a fifth of their time, late leases, records taken from the store.

--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 
 from briarford.requests.agents import AgentView, slowness_of
-from briarford.requests.job import Task
+from briarford.requests.job import StepSpec, Task
 
 __all__ = [
     "accepts_agent",
@@ -70,19 +70,23 @@
     if not in_time:
         return _late_choice(task, fitting, views, now)
     if busy < BUSY_SHARE:
-        return min(in_time, key=lambda v: (_run_s(task, v), -v.free_cpu(now)))
+        return min(
+            in_time, key=lambda v: (_speed_class(v, spec), -v.free_cpu(now))
+        )
     comfortable = [v for v in in_time if _run_s(task, v) <= COMFORT * left_s]
     if comfortable:
         return max(
             comfortable,
-            key=lambda v: (
-                round(slowness_of(v, task.spec), 1),
-                v.free_cpu(now),
-            ),
+            key=lambda v: (_speed_class(v, spec), v.free_cpu(now)),
         )
     return min(in_time, key=lambda v: _run_s(task, v))
 
 
+def _speed_class(view: AgentView, spec: StepSpec) -> float:
+    """Return the slowness, rounded: less is scatter of what was learnt."""
+    return round(slowness_of(view, spec), 1)
+
+
 def _late_choice(
     task: Task,
     fitting: Sequence[AgentView],
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from briarford.runs.health import Slowness, WorkerHealth
@@ -165,7 +165,7 @@
         if self.worker is None:
             self.worker_reported(report, now)
         if self.worker is not None and _boot(self.worker) == _boot(report):
-            self._slowness.recall(slowness)
+            self._slowness.recall(slowness, now)
 
     @property
     def recorded_slowness(self) -> float:
@@ -188,14 +188,37 @@
             service=report.service,
             cpu=report.capacity.cpu,
         )
-        self._end_all(RunEnd.LOST, now)
         self._health = WorkerHealth()
         self._slowness = Slowness()
         self._rooms = Rooms(report.capacity)
         self.acked_end = 0
         self._settled = False
         self._answered_at = now
-        self._lease_end = 0.0
+        for run in self._runs.values():
+            self._rooms.take(run.need)
+            self._withdraw_from_new_boot(run)
+
+    def _adopt_boot(self, listing: RunListing, now: float) -> None:
+        """Take a new boot of the worker that has not sent a heartbeat yet."""
+        if self.worker is not None:
+            report = replace(
+                self.worker,
+                born_ms=listing.born_ms,
+                clock_ms=listing.clock_ms,
+                sequence=0,
+            )
+            self.worker_reported(report, now)
+
+    def _withdraw_from_new_boot(self, run: Run) -> None:
+        """Have a run stopped that ended with the former boot, most likely.
+
+        A boot takes orders before its first heartbeat, so the order may have
+        reached the new one; its lists show that once it has refused it.
+        """
+        run.phase = RunPhase.STOPPING
+        run.end = RunEnd.LOST
+        run.withdrawn_at = 0.0
+        self._effects.append(WithdrawRun(run.key, run.task, run.run))
 
     def may_extend_lease(self, now: float) -> bool:
         """Whether the next call to the worker may renew its lease."""
@@ -210,7 +233,11 @@
         self, listing: RunListing, requested_at: float, now: float
     ) -> None:
         """Take the worker's lists, asked for at ``requested_at``."""
-        if self.worker is None or listing.born_ms != self.worker.born_ms:
+        if self.worker is None:
+            return
+        if listing.born_ms > self.worker.born_ms:
+            self._adopt_boot(listing, now)
+        if listing.born_ms != self.worker.born_ms:
             return
         self._answered_at = now
         overtaken = requested_at < self._listed_at
@@ -252,7 +279,7 @@
         ran_s = max(0.0, now - (run.started_at or run.ordered_at))
         if row.how == "done":
             self._health.succeeded()
-            self._sample(run, ran_s)
+            self._sample(run, ran_s, now)
             self._end(run, RunEnd.DONE, now, ran_s)
         elif row.how == "failed":
             self._note_failure(run, now)
@@ -280,16 +307,16 @@
         else:
             run.idle_listings += 1
         if percent >= SAMPLE_PERCENT:
-            self._sample(run, (now - run.started_at) * 100 / percent)
+            self._sample(run, (now - run.started_at) * 100 / percent, now)
         if run.phase is RunPhase.RUNNING and _has_stalled(run, now):
             self._note_failure(run, now)
             self._stop(run, RunEnd.STALLED)
 
-    def _sample(self, run: Run, total_s: float) -> None:
+    def _sample(self, run: Run, total_s: float, now: float) -> None:
         """Learn from a run once, from its progress or from its end."""
         if not run.sampled and run.expected_s > 0:
             run.sampled = True
-            self._slowness.observe(total_s / run.expected_s)
+            self._slowness.observe(total_s / run.expected_s, now)
 
     def _note_failure(self, run: Run, now: float) -> None:
         job = run.task.partition(".")[0]
@@ -591,7 +618,7 @@
             free_cpu,
             self._rooms.free_memory,
             self._rooms.free_gpu,
-            round(self._slowness.factor, 2),
+            round(self._slowness.factor(now), 2),
             0,
             self._rooms.spare_cpu,
         )
@@ -617,7 +644,7 @@
             "worker_known": float(self.worker is not None),
             "worker_accepting": float(self.accepting(now)),
             "worker_answer_age_s": now - self._answered_at,
-            "worker_slowness": self._slowness.factor,
+            "worker_slowness": self._slowness.factor(now),
             "free_cpu": self._rooms.free_cpu(now),
         }
 
--- a/packages/briarford/src/briarford/runs/health.py
+++ b/packages/briarford/src/briarford/runs/health.py
@@ -23,6 +23,10 @@
 SHIFT = math.log(1.7)
 SHIFT_SAMPLES = 4
 SLOWNESS_RANGE = (0.1, 15.0)
+# A worker without runs is taken for an average one again after some time, or
+# one that was slow for a while would never get another run.
+FORGET_AFTER_S = 2.0
+HALF_LIFE_S = 3.0  # troubles of workers last a few seconds
 # A stored factor is replaced once it is off by so much.
 RECORD_CHANGE = math.log(1.15)
 
@@ -32,20 +36,21 @@
 
     Answers workers of unequal speed, and a worker that turns slow: averages
     logarithms, fast at first, and starts anew once all samples disagree.
+    Without samples it is forgotten little by little.
     """
 
-    __slots__ = ("_count", "_mean", "_recent", "_recorded")
+    __slots__ = ("_count", "_mean", "_recent", "_recorded", "_sampled_at")
 
     def __init__(self) -> None:
         self._mean = 0.0
         self._recorded = 0.0
-        self._count = 0
+        self._count = 0.0
+        self._sampled_at = 0.0
         self._recent: deque[float] = deque(maxlen=SHIFT_SAMPLES)
 
-    @property
-    def factor(self) -> float:
-        """The learnt multiple; 1.0 before any run."""
-        return math.exp(self._mean)
+    def factor(self, now: float) -> float:
+        """Return the learnt multiple; 1.0 before any run."""
+        return math.exp(self._mean * self._memory(now))
 
     @property
     def recorded(self) -> float:
@@ -55,16 +60,21 @@
             self._recorded = self._mean
         return round(math.exp(self._recorded), 2)
 
-    def recall(self, factor: float) -> None:
+    def recall(self, factor: float, now: float) -> None:
         """Take a stored factor, if nothing is known."""
         low, high = SLOWNESS_RANGE
         if not self._count and factor != 1.0:
             self._mean = math.log(min(high, max(low, factor)))
             self._recorded = self._mean
             self._count = SHIFT_SAMPLES
+            self._sampled_at = now
 
-    def observe(self, ratio: float) -> None:
+    def observe(self, ratio: float, now: float) -> None:
         """Take a sample of run time over expected run time."""
+        memory = self._memory(now)
+        self._mean *= memory
+        self._count *= memory
+        self._sampled_at = now
         low, high = SLOWNESS_RANGE
         sample = math.log(min(high, max(low, ratio)))
         self._recent.append(sample)
@@ -76,8 +86,13 @@
         weight = max(LEAST_WEIGHT, 1.0 / self._count)
         self._mean += weight * (sample - self._mean)
 
+    def _memory(self, now: float) -> float:
+        """Return the share of the knowledge that is left."""
+        idle_s = now - self._sampled_at - FORGET_AFTER_S
+        return float(0.5 ** (max(0.0, idle_s) / HALF_LIFE_S))
+
     def _has_shifted(self) -> bool:
-        if self._count < SHIFT_SAMPLES or len(self._recent) < SHIFT_SAMPLES:
+        if len(self._recent) < SHIFT_SAMPLES:
             return False
         above = min(self._recent) > self._mean + SHIFT
         return above or max(self._recent) < self._mean - SHIFT
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -117,8 +117,10 @@
     :param born_ms: the boot that it is of.
     :param running: what runs.
     :param ended: ends that were not acknowledged yet.
+    :param clock_ms: its own steady clock; 0 if not told.
     """
 
     born_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    clock_ms: int = 0
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_members.py
@@ -0,0 +1,181 @@
+"""Workers and agents that come, go, move, flap and turn slow."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from briarford.outcomes import Completed
+from briarford.runs import AgentAddress
+from fleet.worker import StandInWorker
+from fleet.world import World, request
+
+TRAFFIC_PERIOD_S = 0.05
+
+
+def make_world(count: int = 4, entries: int = 2) -> World:
+    world = World([StandInWorker(f"w{n}") for n in range(count)], entries)
+    world.run(1.0)
+    return world
+
+
+def add_traffic(world: World, seconds: float) -> list[str]:
+    """Have a job submitted at each entry by turns, twenty a second."""
+    names = []
+    for n in range(int(seconds / TRAFFIC_PERIOD_S)):
+        name = f"t{n}"
+        names.append(name)
+        entry = world.entries[f"e{n % len(world.entries)}"]
+        world.after(
+            n * TRAFFIC_PERIOD_S,
+            lambda e=entry, j=name: world.submit(e, request(j)),
+        )
+    return names
+
+
+def assert_all_completed(world: World, jobs: list[str]) -> None:
+    assert not world.refused
+    outcomes = {j: world.outcomes.get(j, (0.0, None))[1] for j in jobs}
+    assert {
+        j: o for j, o in outcomes.items() if not isinstance(o, Completed)
+    } == {}
+    assert not world.overlaps()
+
+
+def starts(world: World, worker: str, after: float) -> int:
+    return sum(i.worker == worker and i.start > after for i in world.history())
+
+
+def test_a_worker_that_turns_slow_gets_little_work():
+    world = make_world()
+    slow = world.workers["a0"]
+    jobs = add_traffic(world, 8.0)
+    world.run(2.0)
+    slow.speed = 1 / 6.5
+    world.run(2.0)
+    learnt_at = world.now
+    world.run(8.0)
+    assert_all_completed(world, jobs)
+    fair = len(jobs) * 2 * 4.0 / 8.0 / 4
+    assert starts(world, "w0", learnt_at) < 0.2 * fair
+
+
+def test_a_worker_that_was_slow_gets_work_again():
+    world = make_world()
+    slow = world.workers["a0"]
+    slow.speed = 1 / 6.5
+    jobs = add_traffic(world, 28.0)
+    world.run(4.0)
+    slow.speed = 1.0
+    world.run(27.0)
+    assert_all_completed(world, jobs)
+    assert world.agents["a0"].core.state(world.now)["worker_slowness"] < 1.5
+    assert starts(world, "w0", world.now - 7.0) > 5
+
+
+@pytest.mark.parametrize("leaves_after_s", [0.2, 1.0])
+def test_a_draining_worker_gets_no_runs_and_loses_no_job(leaves_after_s):
+    world = make_world()
+    jobs = add_traffic(world, 6.0)
+    world.run(1.0)
+    node, worker = world.agents["a0"], world.workers["a0"]
+    node.core.worker_reported(
+        worker.report(world.now, draining=True), world.now
+    )
+    worker.draining = True
+    told_at = world.now
+    world.run(leaves_after_s)
+    worker.crash(world.now)
+    node.core.worker_left(worker.name, world.now)
+    world.run(8.0)
+    assert_all_completed(world, jobs)
+    assert not starts(world, "w0", told_at + 0.05)
+
+
+def test_an_agent_is_found_at_another_address():
+    """It is replaced, and its worker runs on."""
+    world = make_world()
+    jobs = add_traffic(world, 6.0)
+    world.run(1.0)
+    node = world.agents["a0"]
+    world.power_off(node)
+    world.run(1.0)
+    world.addresses["a0"] = AgentAddress("elsewhere:1", "desk")
+    world.restart_agent(node)
+    world.run(8.0)
+    assert_all_completed(world, jobs)
+    view = world.entries["e0"].core._agents.get("a0")
+    assert view.usable(world.now)
+    moved = [
+        fields["address"]
+        for _, action, fields in world.entries["e0"].events
+        if action == "agent-moved"
+    ]
+    assert moved == ["elsewhere:1"]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_connections_that_break_again_and_again_lose_no_job(seed):
+    world = make_world()
+    jobs = add_traffic(world, 5.0)
+    rng = random.Random(seed)
+
+    def reset_some() -> None:
+        for link in list(world.links.values()):
+            if rng.random() < 0.3:
+                world._close(link)
+
+    at = 0.0
+    while at < 5.0:
+        at += rng.uniform(0.05, 0.4)
+        world.after(at, reset_some)
+    world.run(9.0)
+    assert_all_completed(world, jobs)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_workers_that_go_down_and_up_lose_no_job(seed):
+    world = make_world()
+    jobs = add_traffic(world, 5.0)
+    rng = random.Random(seed)
+    worker = world.workers["a0"]
+
+    def flap() -> None:
+        if worker.up:
+            worker.crash(world.now)
+        else:
+            worker.boot(world.now)
+
+    for n in range(8):
+        world.after(0.3 + 0.6 * n + rng.uniform(0.0, 0.3), flap)
+    world.run(12.0)
+    assert_all_completed(world, jobs)
+
+
+@pytest.mark.parametrize("which", ["agent", "entry"])
+def test_a_process_that_gets_a_fifth_of_its_time_loses_no_job(which):
+    world = make_world()
+    jobs = add_traffic(world, 4.0)
+    node = world.agents["a0"] if which == "agent" else world.entries["e0"]
+    for n in range(40):
+        world.after(0.1 * n, lambda: world.freeze(node, 0.08))
+    world.run(9.0)
+    assert_all_completed(world, jobs)
+
+
+@pytest.mark.parametrize("late_by", [0.5, 2.0, 5.0])
+def test_an_order_whose_lease_counts_from_its_arrival(late_by):
+    """The worker runs it late, as if it had just been ordered."""
+    world = make_world(count=2)
+    world.late_leases = True
+    world.lost_orders = lambda task: (
+        late_by if task.startswith("t1.") else None
+    )
+    jobs = [f"t{n}" for n in range(6)]
+    for name in jobs:
+        world.submit(world.entries["e0"], request(name, work_s=1.0))
+    world.run(0.6)
+    world.lost_orders = lambda task: None
+    world.run(10.0)
+    assert_all_completed(world, jobs)
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -213,8 +213,56 @@
 def test_a_stored_speed_is_not_rewritten_for_scatter():
     slowness = Slowness()
     for ratio in (1.8, 1.9, 1.7, 1.8):
-        slowness.observe(ratio)
+        slowness.observe(ratio, NOW)
     stored = slowness.recorded
     for ratio in (1.7, 2.0, 1.6, 2.1, 1.5, 2.2):
-        slowness.observe(ratio)
+        slowness.observe(ratio, NOW)
         assert slowness.recorded == stored
+
+
+def test_an_order_may_have_reached_a_boot_before_its_first_heartbeat():
+    """It counts as ended only once the lists of that boot show so."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    reborn = StandInWorker("w", cpu=6000, born_ms=2)
+    agent.worker_reported(reborn.report(NOW), NOW + 0.1)
+    effects = agent.turn(NOW + 0.1)
+    assert any(isinstance(e, WithdrawRun) for e in effects)
+    assert not _ends(effects)
+    row = RunningRow("j.0.0.0", 1, 10)
+    at = NOW + 0.12
+    agent.listing_received(RunListing(2, (row,), ()), at, at)
+    agent.stop_answered(1, at + 0.01)
+    assert not _ends(agent.turn(at + 0.01))
+    ended = EndedRow(1, "j.0.0.0", 1, "stopped")
+    agent.listing_received(RunListing(2, (), (ended,)), at + 0.02, at + 0.06)
+    assert _ends(agent.turn(at + 0.06)) == [RunEnd.LOST]
+
+
+def _ends(effects) -> list[RunEnd]:
+    return [
+        e.message.how
+        for e in effects
+        if isinstance(e, SendToEntry) and isinstance(e.message, RunEnded)
+    ]
+
+
+def test_a_listing_shows_a_new_boot_before_its_heartbeat():
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    at = NOW + 0.2
+    agent.listing_received(RunListing(2, (), (), clock_ms=70), at, at)
+    effects = agent.turn(at)
+    assert _ends(effects) == [RunEnd.LOST]
+    assert agent.worker.born_ms == 2
+    assert agent.worker.clock_ms == 70
+    assert agent.accepting(at)
+
+
+def test_a_delayed_listing_of_a_former_boot_changes_nothing():
+    agent = make_agent("e")
+    reborn = StandInWorker("w", cpu=6000, born_ms=2)
+    agent.worker_reported(reborn.report(NOW), NOW)
+    agent.listing_received(RunListing(1, (), ()), NOW, NOW)
+    assert agent.worker.born_ms == 2
+    assert not agent.settled
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -64,6 +64,7 @@
     history: list[Interval] = field(default_factory=list)
     needs: dict[str, tuple[int, float]] = field(default_factory=dict)
     rejected_room: int = 0
+    draining: bool = False
 
     def report(self, now: float, draining: bool = False) -> WorkerReport:
         self.sequence += 1
@@ -75,7 +76,7 @@
             zone="a",
             capacity=Capacity(self.cpu, 65536, 0),
             labels=self.labels,
-            draining=draining,
+            draining=draining or self.draining,
             clock_ms=int(now * 1000),
             sequence=self.sequence,
         )
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -97,6 +97,8 @@
         self._numbers = itertools.count(1)
         self.links: dict[int, Link] = {}
         self.sent: Counter[type] = Counter()
+        self.addresses: dict[str, AgentAddress] = {}
+        self.late_leases = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.refused: dict[str, Outcome] = {}
@@ -159,7 +161,8 @@
         for name, node in self.agents.items():
             worker = node.core.worker
             service = worker.service if worker is not None else ""
-            directory[name] = AgentAddress(f"{name}:1", service)
+            listed = AgentAddress(f"{name}:1", service)
+            directory[name] = self.addresses.get(name, listed)
         if self.now >= entry.frozen_until:
             entry.core.agents_listed(directory, self.now)
         self.after(LIST_PERIOD_S, lambda: self._list_agents(entry, generation))
@@ -379,6 +382,11 @@
         def execute() -> OrderResult:
             if not worker.up:
                 return OrderResult.UNANSWERED
+            if self.late_leases:
+                late_end = self.now + 1.0
+                return worker.start(
+                    order.task, order.run, token, late_end, self.now
+                )
             return worker.start(
                 order.task, order.run, token, lease_end, self.now
             )
--- /dev/null
+++ b/tests/adapter/test_registration.py
@@ -0,0 +1,112 @@
+"""An agent's record in the store, under faults of the store."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import pytest
+
+from briarford.exceptions import StoreError
+from briarford_daemon.fleet.clock import BootClock
+from briarford_daemon.fleet.registry import AgentRecord, Registration
+from briarford_platform.store import PlatformStore
+
+KEY = "agents/a"
+
+
+@pytest.fixture
+async def store(store_server):
+    _, address = store_server
+    client = PlatformStore(address, BootClock(), random.Random(1))
+    yield client
+    await client.close()
+
+
+class Agent:
+    """What an agent gives to its registration and is told by it."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self.record = AgentRecord("10.0.0.1:1", slowness=1.5)
+        self.versions: list[int] = []
+        self.recalled: list[AgentRecord] = []
+        self.registration = Registration(
+            store,
+            BootClock(),
+            "a",
+            lambda: self.record,
+            self.recalled.append,
+            self.versions.append,
+        )
+
+    async def renew(self) -> None:
+        await self.registration._renew()
+
+
+def soon() -> float:
+    return time.time() + 5.0
+
+
+async def take_key(store, stand_in) -> None:
+    stored = await store.get(KEY, soon())
+    assert await store.swap(KEY, None, stored.version, soon()) is None
+
+
+async def let_lease_lapse(store, stand_in) -> None:
+    for lease in list(stand_in.leases):
+        stand_in.lapse(lease)
+
+
+async def overwrite(store, stand_in) -> None:
+    stored = await store.get(KEY, soon())
+    await store.swap(KEY, b"not ours", stored.version, soon())
+
+
+@pytest.mark.parametrize("fault", [take_key, let_lease_lapse, overwrite])
+async def test_a_record_that_is_gone_is_written_again(
+    store, store_server, fault
+):
+    """Its version is the fencing token, which never falls."""
+    stand_in, _ = store_server
+    agent = Agent(store)
+    await agent.renew()
+    await fault(store, stand_in)
+    for _ in range(2):  # another writer may have come first
+        await agent.renew()
+    assert await store.get(KEY, soon()) is not None
+    assert len(agent.versions) == 2
+    assert agent.versions[1] > agent.versions[0]
+
+
+async def test_a_record_that_stands_is_not_written_again(store):
+    agent = Agent(store)
+    for _ in range(3):
+        await agent.renew()
+    assert len(agent.versions) == 1
+
+
+async def test_the_next_process_is_told_what_the_former_knew(store):
+    first, second = Agent(store), Agent(store)
+    await first.renew()
+    await second.renew()
+    assert second.recalled == [first.record]
+    assert second.versions[0] > first.versions[0]
+
+
+async def test_a_record_that_cannot_be_read_is_replaced(store):
+    await store.swap(KEY, b"\xff not JSON", 0, soon())
+    agent = Agent(store)
+    await agent.renew()
+    assert agent.recalled == []
+    assert len(agent.versions) == 1
+
+
+async def test_nothing_is_registered_while_the_store_is_down(
+    store, store_server
+):
+    agent = Agent(store)
+    stand_in, _ = store_server
+    stand_in.fault = "busy"
+    with pytest.raises(StoreError):
+        await agent.renew()
+    assert agent.versions == []
