--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 PACKAGES := packages/briarford packages/briarford-daemon packages/briarford-bench packages/briarford-cli platform
 
-.PHONY: demo test check format soak
+.PHONY: demo test check format soak explore
 
 .venv/.installed: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -31,3 +31,7 @@
 SEED ?= 1
 soak: .venv/.installed
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
+
+# All pairs of faults at all of some moments, against the cores of the fleet.
+explore: .venv/.installed
+	PYTHONPATH=packages/briarford/tests $(BIN)/python -m fleet.explore
--- /dev/null
+++ b/packages/briarford/tests/fleet/explore.py
@@ -0,0 +1,270 @@
+"""Plays all pairs of faults at all of some moments against the cores.
+
+Two entries, two agents with a worker each, two jobs. Each pair of faults is
+played in virtual time; what workers and clients see is checked at the end:
+
+- TWICE: two runs of a task at once, or a start after its entry has taken
+  note of its end;
+- BUDGET: more runs that failed than a route allows;
+- LOST: a job without an answer, though its client waits;
+- UNASKED: a run of a job that nobody submitted, or one that begins long
+  after its client has left.
+
+    PYTHONPATH=packages/briarford/tests .venv/bin/python -m fleet.explore
+"""
+
+from __future__ import annotations
+
+import itertools
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+
+from briarford.requests import JobRequest
+from fleet.worker import StandInWorker
+from fleet.world import ROUTE, World, request
+
+MOMENTS_S = (0.0005, 0.002, 0.05, 0.2, 0.39, 0.7, 1.1)
+PLAYED_S = 10.0
+REPEAT_S = 1.3  # after a broken connection, as clients do
+CANCEL_S = 1.0  # a run may begin so long after its client has left
+PROCESSES = 3
+
+Fault = Callable[["Case"], None]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(play: Fault) -> Fault:
+    """Register a fault under its name."""
+    FAULTS[play.__name__] = play
+    return play
+
+
+class Case:
+    """One play of some faults."""
+
+    def __init__(self) -> None:
+        workers = [StandInWorker(f"w{n}", cpu=10_000) for n in range(2)]
+        self.world = World(workers, entries=2)
+        self.world.run(1.0)
+        self.entry = self.world.entries["e0"]
+        self.gone_at: dict[str, float] = {}
+        self.jobs = {"j": "e0", "k": "e1"}
+        self.repeated = False
+
+    @property
+    def agent(self):
+        """The agent with the most runs, which all faults are about."""
+        worker = max(
+            self.world.workers, key=lambda n: len(self.world.workers[n].runs)
+        )
+        return self.world.agents[worker]
+
+    @property
+    def worker(self) -> StandInWorker:
+        return self.world.workers[self.agent.name]
+
+    def submit_jobs(self) -> None:
+        self.world.submit(self.entry, _first_job())
+        other = self.world.entries["e1"]
+        self.world.submit(other, request("k", count=1, work_s=0.8))
+
+    def repeat_job(self) -> None:
+        """Submit the job of the first entry again at the other one."""
+        if not self.repeated and "j" not in self.world.outcomes:
+            self.repeated = True
+            self.world.submit(self.world.entries["e1"], _first_job())
+
+
+def _first_job() -> JobRequest:
+    """Return a job that still runs when its client repeats it."""
+    return request("j", count=2, work_s=1.8)
+
+
+@fault
+def entry_killed(case: Case) -> None:
+    case.world.kill(case.entry)
+    case.world.after(0.5, lambda: case.world.restart_entry(case.entry))
+    case.world.after(REPEAT_S, case.repeat_job)
+
+
+@fault
+def entry_loses_power(case: Case) -> None:
+    case.world.power_off(case.entry)
+    case.world.after(REPEAT_S, case.repeat_job)
+
+
+@fault
+def entry_freezes(case: Case) -> None:
+    case.world.freeze(case.entry, 2.5)
+
+
+@fault
+def entry_freezes_and_its_client_leaves(case: Case) -> None:
+    case.world.freeze(case.entry, 2.5)
+    case.world.client_leaves(case.entry, "j")
+    case.world.after(REPEAT_S, case.repeat_job)
+
+
+@fault
+def agent_killed(case: Case) -> None:
+    agent = case.agent
+    case.world.kill(agent)
+    case.world.after(0.6, lambda: case.world.restart_agent(agent))
+
+
+@fault
+def agent_loses_power(case: Case) -> None:
+    agent = case.agent
+    case.world.power_off(agent)
+    case.world.after(2.0, lambda: case.world.restart_agent(agent))
+
+
+@fault
+def agent_is_gone(case: Case) -> None:
+    case.world.power_off(case.agent)
+
+
+@fault
+def agent_freezes(case: Case) -> None:
+    case.world.freeze(case.agent, 2.5)
+
+
+@fault
+def link_cut_shortly(case: Case) -> None:
+    case.world.cut("e0", case.agent.name)
+    case.world.after(0.6, case.world.heal)
+
+
+@fault
+def link_cut(case: Case) -> None:
+    case.world.cut("e0", case.agent.name)
+    case.world.after(3.0, case.world.heal)
+
+
+@fault
+def links_reset(case: Case) -> None:
+    for link in list(case.world.links.values()):
+        case.world._close(link)
+
+
+@fault
+def worker_crashes_and_boots(case: Case) -> None:
+    worker = case.worker
+    if worker.up:
+        worker.crash(case.world.now)
+        case.world.after(0.3, lambda: worker.boot(case.world.now))
+
+
+@fault
+def worker_boots_at_once(case: Case) -> None:
+    worker = case.worker
+    if worker.up:
+        worker.crash(case.world.now)
+        worker.boot(case.world.now)
+
+
+@fault
+def worker_crashes(case: Case) -> None:
+    worker = case.worker
+    if worker.up:
+        worker.crash(case.world.now)
+        case.world.after(4.0, lambda: worker.boot(case.world.now))
+
+
+@fault
+def worker_hangs(case: Case) -> None:
+    worker = case.worker
+    worker.fault = "hang"
+    case.world.after(1.5, lambda: setattr(worker, "fault", ""))
+
+
+@fault
+def orders_carried_out_late(case: Case) -> None:
+    case.world.lost_orders = lambda task: 0.7
+    case.world.after(
+        0.3, lambda: setattr(case.world, "lost_orders", lambda task: None)
+    )
+
+
+@fault
+def more_requests_come(case: Case) -> None:
+    """Orders meet whatever else happens at that time."""
+    for _ in range(4):
+        name = f"m{len(case.jobs)}"
+        case.jobs[name] = "e1"
+        case.world.submit(
+            case.world.entries["e1"], request(name, count=1, work_s=0.6)
+        )
+
+
+@fault
+def client_leaves(case: Case) -> None:
+    case.gone_at["j"] = case.world.now
+    case.world.cancel(case.entry, "j")
+
+
+def play(*steps: tuple[str, float]) -> list[str]:
+    """Play faults at moments, and return the rules that broke."""
+    case = Case()
+    began = case.world.now
+    case.submit_jobs()
+    for name, moment in steps:
+        case.world.at(began + moment, lambda n=name: FAULTS[n](case))
+    case.world.run(PLAYED_S)
+    return list(_broken(case))
+
+
+def _broken(case: Case) -> Iterator[str]:
+    world = case.world
+    if world.overlaps():
+        yield "TWICE: two runs at once"
+    failed: Counter[str] = Counter()
+    for run in world.history():
+        job = run.task.partition(".")[0]
+        failed[run.task] += run.how == "failed"
+        answered_at = world.outcomes.get(job, (float("inf"), None))[0]
+        if run.start > answered_at + 0.01:
+            yield "TWICE: a start after the answer"
+        if job not in case.jobs:
+            yield "UNASKED: a job that nobody submitted"
+        gone_at = case.gone_at.get(job, float("inf"))
+        if run.start > gone_at + CANCEL_S and not case.repeated:
+            yield "UNASKED: a start after the client has left"
+    if any(n > ROUTE.max_attempts for n in failed.values()):
+        yield "BUDGET: too many failed runs"
+    for job, name in case.jobs.items():
+        entry = world.entries[name]
+        answered = job in world.outcomes or job in world.refused
+        client_waits = entry.up and entry.core.open_jobs > 0
+        if not answered and client_waits and job not in case.gone_at:
+            yield f"LOST: no answer to {job}"
+
+
+def pairs() -> list[tuple[tuple[str, float], ...]]:
+    """Return all pairs of faults at all moments."""
+    steps = list(itertools.product(FAULTS, MOMENTS_S))
+    return [(one, other) for one in steps for other in steps if one <= other]
+
+
+def _play_pair(pair: tuple[tuple[str, float], ...]) -> list[str]:
+    return play(*pair)
+
+
+def main() -> None:
+    """Play all pairs, and exit with 1 if a rule broke."""
+    todo = pairs()
+    broken = 0
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        results = pool.map(_play_pair, todo, chunksize=16)
+        for pair, found in zip(todo, results, strict=True):
+            if found:
+                broken += 1
+                print(pair, "; ".join(sorted(set(found))))
+    print(f"{len(todo)} pairs of faults played, {broken} broke a rule")
+    sys.exit(broken > 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -0,0 +1,84 @@
+"""A seeded part of the pairs of faults, and planted faults that show."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from briarford.requests import attachments
+from briarford.runs import RunEnd
+from briarford.runs import agent as run_agent
+from fleet.explore import FAULTS, MOMENTS_S, pairs, play
+
+SAMPLE = 60
+SEED = 20261204
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_no_rule_breaks_with_one_fault(name):
+    broken = {m: found for m in MOMENTS_S if (found := play((name, m)))}
+    assert not broken
+
+
+@pytest.mark.parametrize(
+    "pair", random.Random(SEED).sample(pairs(), SAMPLE), ids=str
+)
+def test_no_rule_breaks_with_two_faults(pair):
+    assert play(*pair) == []
+
+
+def plant_long_sessions(monkeypatch):
+    """An agent lets the runs of a silent entry go on."""
+    monkeypatch.setattr(run_agent, "SESSION_TTL_S", 4.0)
+
+
+def plant_hasty_loss(monkeypatch):
+    """An entry counts the runs of a silent agent as lost at once."""
+    monkeypatch.setattr(attachments, "LOST_S", 0.2)
+
+
+def plant_hasty_boot(monkeypatch):
+    """An agent counts all runs as lost with the first sign of a new boot."""
+    replace_worker = run_agent.RunAgent._replace_worker
+
+    def planted(self, report, now):
+        self._end_all(RunEnd.LOST, now)
+        replace_worker(self, report, now)
+
+    monkeypatch.setattr(run_agent.RunAgent, "_replace_worker", planted)
+
+
+def plant_unasked_withdrawal(monkeypatch):
+    """An agent takes an unanswered order for one that was not executed."""
+    monkeypatch.setattr(
+        run_agent.RunAgent,
+        "_stop",
+        lambda self, run, end: self._end(run, end, 0.0),
+    )
+
+
+def plant_deaf_entry(monkeypatch):
+    """An entry does not notice that an agent is gone."""
+    monkeypatch.setattr(attachments, "LOST_S", 1e9)
+    monkeypatch.setattr(attachments, "GONE_S", 1e9)
+
+
+@pytest.mark.parametrize(
+    ("plant", "rule", "steps"),
+    [
+        (plant_long_sessions, "TWICE", [("entry_loses_power", 0.2)]),
+        (plant_hasty_loss, "TWICE", [("agent_freezes", 0.2)]),
+        (plant_unasked_withdrawal, "TWICE", [("orders_carried_out_late", 0)]),
+        (plant_deaf_entry, "LOST", [("agent_is_gone", 0.2)]),
+        (
+            plant_hasty_boot,
+            "TWICE",
+            [("worker_boots_at_once", 0.0005), ("more_requests_come", 0.05)],
+        ),
+    ],
+)
+def test_planted_faults_show(monkeypatch, plant, rule, steps):
+    assert play(*steps) == []
+    plant(monkeypatch)
+    assert any(found.startswith(rule) for found in play(*steps))
