--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -22,7 +22,8 @@
     SendToAgent,
 )
 from briarford.runs import AgentAddress, Attach, EntryMessage
-from briarford.runs.agent import LEASE_S, SESSION_TTL_S
+from briarford.runs.agent import LEASE_S
+from briarford.runs.state import SESSION_TTL_S
 
 __all__ = ["GONE_S", "MAX_WIDTH", "WIDTH", "Attachments"]
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -11,18 +11,17 @@
     AgentMessage,
     AgentPulse,
     Attach,
-    Attached,
     Demand,
     EntryMessage,
     EntryPulse,
     Offer,
     RunEnd,
-    RunEnded,
     StartRun,
     StopRun,
     WorkerStatus,
 )
 from briarford.runs.rooms import Rooms
+from briarford.runs.sessions import Sessions
 from briarford.runs.state import Run, RunPhase, Session
 from briarford.runs.status import next_status, status_period_s
 from briarford.runs.worker import (
@@ -36,7 +35,6 @@
 __all__ = [
     "LEASE_S",
     "PULSE_PERIOD_S",
-    "SESSION_TTL_S",
     "AgentEffect",
     "AgentEvent",
     "PlaceOrder",
@@ -45,9 +43,6 @@
     "WithdrawRun",
 ]
 
-# An entry whose client repeats a request after a broken connection does so
-# 1.3 s later at another entry: its runs must have ended by then.
-SESSION_TTL_S = 0.9
 PULSE_PERIOD_S = 0.2  # four heartbeats may be lost within SESSION_TTL_S
 LEASE_S = 1.0  # longest lease that workers grant
 CLOCK_DRIFT = 1.02  # a worker's clock may be 2% slow
@@ -58,7 +53,6 @@
 SILENCE_S = 0.5
 STALL_S = 0.7  # a healthy task of under a minute gains 1% in that time
 STALL_LISTINGS = 3  # lost answers must not look like a lack of progress
-FORGET_SESSION_S = 30.0
 
 # Progress is given in whole per cent, which is then a tenth off at most: far
 # less than estimates are.
@@ -126,8 +120,6 @@
         self._rooms = Rooms(Capacity(0, 0, 0))
         self._health = WorkerHealth()
         self._slowness = Slowness()
-        self._sessions: dict[str, Session] = {}
-        self._links: dict[int, Session] = {}
         self._runs: dict[int, Run] = {}
         self._by_task: dict[tuple[str, int], Run] = {}
         self._last_key = 0
@@ -138,6 +130,7 @@
         self._settled = False
         self._listed_at = 0.0
         self._effects: list[AgentEffect] = []
+        self._sessions = Sessions(name, incarnation, self._send)
 
     # -- the worker ---------------------------------------------------------
 
@@ -365,53 +358,28 @@
 
     def attach(self, link: int, msg: Attach, now: float) -> None:
         """Open or resume the session of an entry on a connection."""
-        session = self._sessions.get(msg.entry)
-        if session is not None and session.incarnation != msg.incarnation:
+        session = self._sessions.replaced_by(msg)
+        if session is not None:
             self._stop_all(session, "entry-restarted")
-            self._drop_link(session)
-            session = None
-        if session is None:
-            session = Session(
-                msg.entry, msg.incarnation, link, msg.connection, 0.0
-            )
-            session.last_number = msg.acked
-            self._sessions[msg.entry] = session
+        if msg.entry not in self._sessions:
             self._log("session-opened", entry=msg.entry)
-        elif msg.connection <= session.connection:
-            return
-        self._drop_link(session)
-        session.link = link
-        session.connection = msg.connection
-        session.held_until = max(session.held_until, msg.echo + SESSION_TTL_S)
-        session.status_sent = None
-        session.demand = None
-        self._links[link] = session
-        held = [*session.runs, *(e.dispatch for e in session.ended)]
-        attached = Attached(self.name, self.incarnation, tuple(held), now)
-        self._send(session, attached)
-        for end in session.ended:
-            self._send(session, end)
+        if self._sessions.attach(link, msg, now):
+            self._rooms.settle_offer(msg.entry)
 
     def link_closed(self, link: int) -> None:
         """Note that a connection has ended; the session may resume."""
-        session = self._links.pop(link, None)
-        if session is not None and session.link == link:
-            session.link = None
-            session.demand = None
+        session = self._sessions.link_closed(link)
+        if session is not None:
             self._rooms.settle_offer(session.entry)
 
     def handle(self, link: int, msg: EntryMessage, now: float) -> None:
         """Take a message of an attached entry."""
-        session = self._links.get(link)
-        if session is None or session.link != link:
+        session = self._sessions.by_link(link)
+        if session is None:
             return
         match msg:
             case EntryPulse():
-                held_until = msg.echo + SESSION_TTL_S
-                session.held_until = max(session.held_until, held_until)
-                session.ended = [
-                    e for e in session.ended if e.number > msg.acked
-                ]
+                session.take_pulse(msg)
             case StartRun():
                 session.last_dispatch = msg.dispatch
                 self._start(session, msg, now)
@@ -512,11 +480,7 @@
     def _report(self, run: Run, end: RunEnd, ran_s: float) -> None:
         session = run.session
         self.counts[end.value] += 1
-        session.last_number += 1
-        ended = RunEnded(session.last_number, run.dispatch, end, ran_s)
-        session.ended.append(ended)
-        session.has_ended = True
-        self._send(session, ended)
+        self._send(session, session.add_end(run.dispatch, end, ran_s))
         self._log(
             "run-ended",
             task=run.task,
@@ -537,7 +501,7 @@
         self._send_status(now)
         if now >= self._next_pulse:
             self._next_pulse = now + PULSE_PERIOD_S
-            for session in self._sessions.values():
+            for session in self._sessions.linked():
                 self._send(session, AgentPulse(now))
         effects, self._effects = self._effects, []
         return effects
@@ -548,13 +512,8 @@
         return min(due for due in dues if due is not None)
 
     def _expire_sessions(self, now: float) -> None:
-        for session in list(self._sessions.values()):
-            if now <= session.held_until:
-                continue
+        for session in self._sessions.expired(now):
             self._stop_all(session, "session-expired")
-            gone = session.link is None and not session.runs
-            if gone and now > session.held_until + FORGET_SESSION_S:
-                del self._sessions[session.entry]
 
     def _expire_lease(self, now: float) -> None:
         if not self._runs or self.may_extend_lease(now):
@@ -568,10 +527,8 @@
             return
         waiting = [
             s
-            for s in self._sessions.values()
-            if s.link is not None
-            and s.demand is not None
-            and not self._rooms.has_offer(s.entry)
+            for s in self._sessions.linked()
+            if s.demand is not None and not self._rooms.has_offer(s.entry)
         ]
         for session in sorted(waiting, key=lambda s: s.start_by):
             free = self._rooms.free_cpu(now)
@@ -584,18 +541,14 @@
 
     def _contended(self) -> bool:
         """Whether tasks wait for room here, which is then only offered."""
-        return any(
-            s.demand is not None and s.link is not None
-            for s in self._sessions.values()
-        )
+        return any(s.demand is not None for s in self._sessions.linked())
 
     def _send_status(self, now: float) -> None:
         self._status_due = None
         status = self._status(now)
-        period_s = status_period_s(len(self._links))
-        for session in self._sessions.values():
-            if session.link is None:
-                continue
+        linked = self._sessions.linked()
+        period_s = status_period_s(len(linked))
+        for session in linked:
             step = next_status(session, status, period_s, now)
             if isinstance(step, WorkerStatus):
                 self._send(session, step)
@@ -650,12 +603,6 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def _drop_link(self, session: Session) -> None:
-        if session.link is not None:
-            self._links.pop(session.link, None)
-            session.link = None
-        self._rooms.settle_offer(session.entry)
-
     def _send(self, session: Session, message: AgentMessage) -> None:
         if session.link is not None:
             self._effects.append(SendToEntry(session.link, message))
--- /dev/null
+++ b/packages/briarford/src/briarford/runs/sessions.py
@@ -0,0 +1,103 @@
+"""The sessions of entries at an agent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from briarford.runs.messages import AgentMessage, Attach, Attached
+from briarford.runs.state import Session
+
+__all__ = ["FORGET_SESSION_S", "Sessions"]
+
+FORGET_SESSION_S = 30.0  # an entry that is back later begins a new one
+
+
+class Sessions:
+    """Opens, resumes and forgets sessions.
+
+    :param agent: name of the agent.
+    :param incarnation: of its process.
+    :param send: sends a message to the entry of a session.
+    """
+
+    def __init__(
+        self,
+        agent: str,
+        incarnation: str,
+        send: Callable[[Session, AgentMessage], None],
+    ) -> None:
+        self._agent = agent
+        self._incarnation = incarnation
+        self._send = send
+        self._by_entry: dict[str, Session] = {}
+        self._by_link: dict[int, Session] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_entry)
+
+    def __contains__(self, entry: str) -> bool:
+        return entry in self._by_entry
+
+    def by_link(self, link: int) -> Session | None:
+        """Return the session that uses a connection."""
+        return self._by_link.get(link)
+
+    def linked(self) -> list[Session]:
+        """Return the sessions with a connection."""
+        return [s for s in self._by_entry.values() if s.link is not None]
+
+    def replaced_by(self, msg: Attach) -> Session | None:
+        """Close and return the session of a former process of the entry."""
+        session = self._by_entry.get(msg.entry)
+        if session is None or session.incarnation == msg.incarnation:
+            return None
+        self._drop_link(session)
+        del self._by_entry[msg.entry]
+        return session
+
+    def attach(self, link: int, msg: Attach, now: float) -> bool:
+        """Open or resume a session; False if a later connection has come."""
+        session = self._by_entry.get(msg.entry)
+        if session is None:
+            session = Session(
+                msg.entry, msg.incarnation, link, msg.connection, 0.0
+            )
+            session.last_number = msg.acked
+            self._by_entry[msg.entry] = session
+        elif msg.connection <= session.connection:
+            return False
+        self._drop_link(session)
+        session.link = link
+        session.connection = msg.connection
+        session.hold(msg.echo)
+        session.status_sent = None
+        session.demand = None
+        self._by_link[link] = session
+        held = [*session.runs, *(e.dispatch for e in session.ended)]
+        attached = Attached(self._agent, self._incarnation, tuple(held), now)
+        self._send(session, attached)
+        for end in session.ended:
+            self._send(session, end)
+        return True
+
+    def link_closed(self, link: int) -> Session | None:
+        """Return the session that has lost its connection, if any."""
+        session = self._by_link.pop(link, None)
+        if session is not None:
+            session.link = None
+            session.demand = None
+        return session
+
+    def expired(self, now: float) -> list[Session]:
+        """Return the sessions whose runs are not held any more."""
+        expired = [s for s in self._by_entry.values() if now > s.held_until]
+        for session in expired:
+            gone = session.link is None and not session.runs
+            if gone and now > session.held_until + FORGET_SESSION_S:
+                del self._by_entry[session.entry]
+        return expired
+
+    def _drop_link(self, session: Session) -> None:
+        if session.link is not None:
+            self._by_link.pop(session.link, None)
+            session.link = None
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -5,10 +5,20 @@
 import enum
 from dataclasses import dataclass, field
 
-from briarford.runs.messages import Demand, RunEnd, RunEnded, WorkerStatus
+from briarford.runs.messages import (
+    Demand,
+    EntryPulse,
+    RunEnd,
+    RunEnded,
+    WorkerStatus,
+)
 from briarford.runs.worker import Capacity
 
-__all__ = ["Run", "RunPhase", "Session"]
+__all__ = ["SESSION_TTL_S", "Run", "RunPhase", "Session"]
+
+# An entry whose client repeats a request after a broken connection does so
+# 1.3 s later at another entry: its runs must have ended by then.
+SESSION_TTL_S = 0.9
 
 
 class RunPhase(enum.Enum):
@@ -88,3 +98,20 @@
     status_at: float = 0.0
     dispatch_told: int = 0
     has_ended: bool = False
+
+    def hold(self, echo: float) -> None:
+        """Hold the runs for some time after a heartbeat that was echoed."""
+        self.held_until = max(self.held_until, echo + SESSION_TTL_S)
+
+    def take_pulse(self, pulse: EntryPulse) -> None:
+        """Take a heartbeat of the entry."""
+        self.hold(pulse.echo)
+        self.ended = [e for e in self.ended if e.number > pulse.acked]
+
+    def add_end(self, dispatch: int, how: RunEnd, ran_s: float) -> RunEnded:
+        """Note the end of a run until the entry has acknowledged it."""
+        self.last_number += 1
+        ended = RunEnded(self.last_number, dispatch, how, ran_s)
+        self.ended.append(ended)
+        self.has_ended = True
+        return ended
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briarford.requests import attachments
-from briarford.runs import RunEnd
+from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
 from fleet.explore import FAULTS, MOMENTS_S, pairs, play
 
@@ -30,7 +30,7 @@
 
 def plant_long_sessions(monkeypatch):
     """An agent lets the runs of a silent entry go on."""
-    monkeypatch.setattr(run_agent, "SESSION_TTL_S", 4.0)
+    monkeypatch.setattr(state, "SESSION_TTL_S", 4.0)
 
 
 def plant_hasty_loss(monkeypatch):
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -6,7 +6,7 @@
 
 from briarford.outcomes import Completed, Failed, Refused
 from briarford.requests.dispatcher import LATE_SLACK_S
-from briarford.runs.agent import FORGET_SESSION_S
+from briarford.runs.sessions import FORGET_SESSION_S
 from fleet.worker import StandInWorker
 from fleet.world import World, request
 
