Log why a job did not complete, and test three stories with processes

Finding of the test: a request that is given up after waiting had no line with its reason. Refused, failed and late requests are now played with real processes and explained from their logs; SIGHUP is played, too.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -302,6 +302,7 @@
             outcome=kind,
             took_ms=round((now - job.accepted_at) * 1000),
             objective_ms=round((job.objective_at - job.accepted_at) * 1000),
+            reason=_reason(outcome),
         )
         self._effects.append(JobEnded(job_id, outcome))
 
@@ -510,6 +511,15 @@
         self._effects.append(EntryEvent(action, fields))
 
 
+def _reason(outcome: Outcome) -> str:
+    """Return why a job did not complete; empty if it did."""
+    match outcome:
+        case Refused() | Failed():
+            return f"{outcome.reason.value}: {outcome.detail}"
+        case _:
+            return ""
+
+
 def _is_useless(task: Task, now: float) -> bool:
     return now + task.spec.expected_s > task.job.late_at
 
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from briarford.runs import OrderResult
+from briarford_cli.story import Story, read_lines, tell_story
 from fleet.worker import StandInWorker
 from stand_in import StoreStandIn
 
@@ -156,12 +157,16 @@
             }
             await self.launch(role)
 
-    async def launch(self, role: str) -> None:
+    def write_settings(self, role: str) -> Path:
         path = self._folder / f"{role}.toml"
         lines = (
             f"{k} = {json.dumps(v)}" for k, v in self.settings[role].items()
         )
         path.write_text("\n".join(lines))
+        return path
+
+    async def launch(self, role: str) -> None:
+        path = self.write_settings(role)
         env = {**os.environ, "BRIARFORD_NODE_FILE": str(path)}
         with (self._folder / f"{role}.log").open("ab") as log:
             self.processes[role] = await asyncio.create_subprocess_exec(
@@ -228,9 +233,11 @@
         async with self.http.get(f"http://127.0.0.1:{port}/metrics") as resp:
             return await resp.text()
 
+    def read_log(self, role: str) -> str:
+        return (self._folder / f"{role}.log").read_text()
+
     def log(self, role: str) -> list[dict[str, Any]]:
-        text = (self._folder / f"{role}.log").read_text()
-        return [json.loads(line) for line in text.splitlines()]
+        return [json.loads(n) for n in self.read_log(role).splitlines()]
 
     async def stop(self) -> None:
         for process in self.processes.values():
@@ -312,3 +319,91 @@
     await fleet.processes["agent"].wait()
     await fleet.launch("agent")
     await fleet.eventually(lambda: fleet.submit("00000000000000ae"), done)
+
+
+async def start_serving(fleet: Fleet, job: str) -> None:
+    await fleet.eventually(lambda: report_ok(fleet), True)
+    await fleet.eventually(fleet.ready, 200)
+    done = (200, b'{"state":"completed"}')
+    await fleet.eventually(lambda: fleet.submit(job), done)
+
+
+def explain(fleet: Fleet, job: str) -> Story:
+    """Tell the story of a job from the logs of both processes."""
+    lines = [
+        line
+        for role in ("entry", "agent")
+        for line in read_lines(fleet.read_log(role).splitlines())
+    ]
+    return tell_story(job, lines)
+
+
+def fields(story: Story, event: str) -> list[Any]:
+    return [line.fields for line in story.events if line.event == event]
+
+
+async def test_the_logs_explain_a_refusal(fleet):
+    """No worker has reported, so none takes tasks."""
+    jobs = []
+
+    async def is_refused() -> bool:
+        jobs.append(f"{len(jobs):016x}")
+        status, _ = await fleet.submit(jobs[-1])
+        return status == 503
+
+    await fleet.eventually(is_refused, True)
+
+    async def outcome() -> str:
+        """An entry without configuration refuses without a line."""
+        if not explain(fleet, jobs[-1]).outcome:
+            await is_refused()
+        return explain(fleet, jobs[-1]).outcome
+
+    await fleet.eventually(outcome, "refused")
+    story = explain(fleet, jobs[-1])
+    # It waits for agents at first, as they start later than the entry.
+    (told,) = fields(story, "refused") or fields(story, "job-ended")
+    assert told["reason"].startswith(("workers-lost", "deadline-unreachable"))
+
+
+async def test_the_logs_explain_a_failure(fleet):
+    await start_serving(fleet, "00000000000000ba")
+    fleet.worker.core.fault = "fail"
+    status, body = await fleet.submit("00000000000000bb")
+    assert (status, json.loads(body)["state"]) == (200, "failed")
+    story = explain(fleet, "00000000000000bb")
+    assert story.outcome == "failed"
+    failed = [
+        f["task"] for f in fields(story, "run-ended") if f["how"] == "failed"
+    ]
+    attempts = max(failed.count(task) for task in failed)
+    assert attempts == CONFIG["routes"][0]["max_attempts"]
+
+
+async def test_the_logs_explain_a_late_answer(fleet):
+    """Its tasks take ten times as long as estimated."""
+    await start_serving(fleet, "00000000000000bc")
+    fleet.worker.core.needs["00000000000000bd"] = (1000, 1.0)
+    await fleet.submit("00000000000000bd")
+    story = explain(fleet, "00000000000000bd")
+    (ended,) = fields(story, "job-ended")
+    assert ended["took_ms"] > ended["objective_ms"]
+    assert all(f["ran_ms"] > 900 for f in fields(story, "run-ended"))
+    assert all(f["slack_ms"] > 0 for f in fields(story, "placed"))
+    assert story.gaps == []
+
+
+async def test_settings_are_read_again_after_a_signal(fleet):
+    await start_serving(fleet, "00000000000000be")
+    fleet.settings["entry"]["stop_within_s"] = 9.0
+    fleet.write_settings("entry")
+    fleet.processes["entry"].send_signal(signal.SIGHUP)
+
+    async def reloaded() -> list[Any]:
+        return [
+            line["taken"]
+            for line in fleet.log("entry")
+            if line["message"] == "settings-reloaded"
+        ]
+
+    await fleet.eventually(reloaded, [{"stop_within_s": 9.0}])
