--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -93,3 +93,11 @@
     assert play(*steps) == []
     plant(monkeypatch)
     assert any(found.startswith(rule) for found in play(*steps))
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
+def test_a_late_order_that_meets_a_new_boot_starts_nothing_twice():
+    """The boot has not seen a fencing token when the late order comes."""
+    assert not play(
+        ("orders_carried_out_late", 0.0005), ("worker_boots_at_once", 0.7)
+    )
