--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -34,7 +34,7 @@
 GONE_S = LEASE_S * 1.02 + 0.1
 LOST_S = SESSION_TTL_S + GONE_S
 FORGET_AGENT_S = 30.0
-REVIEW_PERIOD_S = 0.02  # short against SILENCE_S
+REVIEW_PERIOD_S = 0.05  # short against SILENCE_S
 # With so many workers the free room varies little: half of it is there if a
 # zone of two is lost, and a session costs about 0.2% of a processor.
 WIDTH = 24
@@ -86,6 +86,7 @@
         self._incarnation = incarnation
         self._emit = emit
         self._views: dict[str, AgentView] = {}
+        self._ranked: list[AgentView] = []
         self._links: dict[int, AgentView] = {}
         self._widths: dict[str, _Width] = {}
         self._last_connection = 0
@@ -137,6 +138,7 @@
             view.registered_service = listed.service
         for name, view in self._views.items():
             view.listed = name in directory
+        self._ranked = sorted(self._views.values(), key=lambda v: v.rank)
         self._review_at = now
 
     # -- connections --------------------------------------------------------
@@ -195,15 +197,15 @@
 
     # -- time ---------------------------------------------------------------
 
-    def widen(self, service: str, anything: bool, now: float) -> None:
+    def widen(self, service: str, to_all: bool, now: float) -> None:
         """Attach to more agents of a service, whose tasks find no room.
 
-        :param anything: whether no agent at all would take them, as for
-            labels that few workers have.
+        :param to_all: whether to go on beyond ``MAX_WIDTH``: no attached
+            worker may run them at all, as for labels that few have.
         """
         width = self._widths.setdefault(service, _Width())
         known = len(self._views)
-        width.widen(known if anything else min(MAX_WIDTH, known), now)
+        width.widen(known if to_all else min(MAX_WIDTH, known), now)
 
     def review(self, now: float) -> list[tuple[AgentView, Dispatch]]:
         """Open and close connections.
@@ -222,6 +224,7 @@
             if not view.listed and silent_s > FORGET_AGENT_S and idle:
                 self.close(view)
                 del self._views[view.name]
+                self._ranked.remove(view)
         self._connect(now)
         return lost
 
@@ -238,7 +241,7 @@
 
     def _connect(self, now: float) -> None:
         by_service: dict[str, list[AgentView]] = {}
-        for view in sorted(self._views.values(), key=lambda v: v.rank):
+        for view in self._ranked:
             by_service.setdefault(view.service, []).append(view)
         unknown = by_service.pop("", [])
         for service, views in by_service.items():
@@ -263,6 +266,7 @@
     def _dial(self, view: AgentView, now: float) -> None:
         if view.link is None and not view.dialing and now >= view.dial_at:
             view.dialing = True
+            # Repeated attempts do not make it count as about to answer.
             if now - view.dialed_at > ANSWER_S + SILENCE_S:
                 view.dialed_at = now
             self._emit(DialAgent(view.name, view.address))
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -86,6 +86,7 @@
         self._waiting = WaitingTasks()
         self._admission = Admission(name, self._waiting)
         self._busy_names: Counter[str] = Counter()
+        self._demand_told = False
         self._last_dispatch = 0
         self._next_pulse = 0.0
         self._turned_at = 0.0
@@ -201,6 +202,7 @@
             case AgentPulse():
                 view.pulse = msg.sent_at
             case Offer():
+                self._demand_told = True  # it has to be used or declined
                 view.offered_cpu = msg.cpu
                 view.offered_until = now + OFFER_USE_S
             case RunEnded():
@@ -413,6 +415,9 @@
     def _tell_demand(self, now: float) -> None:
         """Tell each agent the most urgent waiting task that it may run."""
         heads = self._heads(now)
+        if not heads and not self._demand_told:
+            return
+        self._demand_told = bool(heads)
         for view in self._agents.linked():
             if not view.attached:
                 continue
@@ -434,6 +439,8 @@
     def _heads(self, now: float) -> list[tuple[Task, float]]:
         """Return the first waiting tasks with their shortest run times."""
         heads: list[tuple[Task, float]] = []
+        if not self._waiting:
+            return heads
         usable = [v for v in self._agents.linked() if v.usable(now)]
         for task in self._waiting.in_order(now):
             if self._busy_names[task.name]:
