--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -181,6 +181,19 @@
     case.world.after(1.5, lambda: setattr(worker, "fault", ""))
 
 
+@fault
+def all_workers_fail(case: Case) -> None:
+    workers = list(case.world.workers.values())
+    for worker in workers:
+        worker.fault = "fail"
+
+    def heal() -> None:
+        for worker in workers:
+            worker.fault = ""
+
+    case.world.after(0.4, heal)
+
+
 @fault
 def orders_carried_out_late(case: Case) -> None:
     case.world.lost_orders = lambda task: 0.7
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from briarford.requests import attachments
+from briarford.requests import attachments, dispatcher
 from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
 from fleet.explore import FAULTS, MOMENTS_S, pairs, play
@@ -64,6 +64,15 @@
     )
 
 
+def plant_endless_attempts(monkeypatch):
+    """An entry starts a task again however often it has failed."""
+    monkeypatch.setattr(
+        dispatcher.Dispatcher,
+        "_task_failed",
+        lambda self, task, view, now: self._waiting.add(task),
+    )
+
+
 def plant_deaf_entry(monkeypatch):
     """An entry does not notice that an agent is gone."""
     monkeypatch.setattr(attachments, "LOST_S", 1e9)
@@ -81,6 +90,7 @@
         ),
         (plant_hasty_loss, "TWICE", [("agent_freezes", 0.2)]),
         (plant_unasked_withdrawal, "TWICE", [("orders_carried_out_late", 0)]),
+        (plant_endless_attempts, "BUDGET", [("all_workers_fail", 0.0005)]),
         (plant_deaf_entry, "LOST", [("agent_is_gone", 0.2)]),
         (
             plant_hasty_boot,
