Count a run that failed while its agent was restarted as an attempt

Finding of the exploration with failing workers: an agent is killed, a run that it had ordered fails, and the next agent acknowledges that end without telling the entry, which counts the run as lost. A task that always fails then has one attempt more than its route allows. The next agent now tells entries of such failures before it takes runs.

With the change taken away the check shows the fault (plant_forgotten_failures).

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -19,6 +19,7 @@
 
     :param task: the task.
     :param number: number of the order.
+    :param run: number of the run.
     :param cpu: thousandths of a processor that it takes.
     :param memory_mb: memory that it takes.
     :param gpu: accelerators that it takes.
@@ -26,6 +27,7 @@
 
     task: Task
     number: int
+    run: int
     cpu: int
     memory_mb: int
     gpu: int
@@ -150,6 +152,14 @@
         self.dispatches.clear()
         self.unseen_cpu = self.unseen_memory_mb = self.unseen_gpu = 0
 
+    def take_orphan(self, task: str, run: int) -> Dispatch | None:
+        """Forget and return the order of a run of a former agent."""
+        for at, dispatch in self.orphans:
+            if dispatch.task.name == task and dispatch.run == run:
+                self.orphans.remove((at, dispatch))
+                return dispatch
+        return None
+
     def settle_orphans(self, now: float) -> None:
         """Note that nothing of a former agent runs on the worker.
 
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -45,6 +45,7 @@
     Attached,
     Demand,
     EntryPulse,
+    FormerFailure,
     Offer,
     RunEnd,
     RunEnded,
@@ -207,6 +208,10 @@
                 view.offered_until = now + OFFER_USE_S
             case RunEnded():
                 self._run_ended(view, msg, now)
+            case FormerFailure():
+                dispatch = view.take_orphan(msg.task, msg.run)
+                if dispatch is not None:
+                    self._settle(view, dispatch, RunEnd.FAILED, now)
 
     def _attached(self, view: AgentView, msg: Attached, now: float) -> None:
         view.attached = True
@@ -381,7 +386,13 @@
         task.dispatch = self._last_dispatch
         task.last_run = max(task.last_run + 1, int(now * 1000))
         dispatch = Dispatch(
-            task, task.dispatch, step.cpu, step.memory_mb, step.gpu, now
+            task,
+            task.dispatch,
+            task.last_run,
+            step.cpu,
+            step.memory_mb,
+            step.gpu,
+            now,
         )
         view.add(dispatch)
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -15,6 +15,7 @@
     Demand,
     EntryMessage,
     EntryPulse,
+    FormerFailure,
     Offer,
     RunEnd,
     StartRun,
@@ -57,6 +58,7 @@
 SILENCE_S = 0.5
 STALL_S = 0.7  # a healthy task of under a minute gains 1% in that time
 STALL_LISTINGS = 3  # lost answers must not look like a lack of progress
+FORMER_FAILURES = 100  # more runs than a worker has room for
 
 # Progress is given in whole per cent, which is then a tenth off at most: far
 # less than estimates are.
@@ -131,6 +133,9 @@
         self._lease_end = 0.0
         self._next_pulse = 0.0
         self._status_due: float | None = None
+        self._former_failures: deque[FormerFailure] = deque(
+            maxlen=FORMER_FAILURES
+        )
         self._settled = False
         self._listed_at = 0.0
         self._effects: list[AgentEffect] = []
@@ -287,6 +292,7 @@
     def _take_end(self, row: EndedRow, now: float) -> None:
         run = self._by_task.get((row.task, row.run))
         if run is None:
+            self._take_former_end(row)
             return
         ran_s = max(0.0, now - (run.started_at or run.ordered_at))
         if row.how == "done":
@@ -301,6 +307,18 @@
         else:
             self._end(run, run.end, now, ran_s)
 
+    def _take_former_end(self, row: EndedRow) -> None:
+        """Tell entries of a failure that a former process has not told.
+
+        It counts as an attempt, since the worker is told that it was noted.
+        """
+        if row.how != "failed":
+            return
+        failure = FormerFailure(row.task, row.run)
+        self._former_failures.append(failure)
+        for session in self._sessions.linked():
+            self._send(session, failure)
+
     def _take_progress(
         self, task: str, number: int, percent: int, now: float
     ) -> None:
@@ -382,8 +400,11 @@
             self._stop_all(session, "entry-restarted")
         if msg.entry not in self._sessions:
             self._log("session-opened", entry=msg.entry)
-        if self._sessions.attach(link, msg, now):
-            self._rooms.settle_offer(msg.entry)
+        if not self._sessions.attach(link, msg, now):
+            return
+        self._rooms.settle_offer(msg.entry)
+        for failure in self._former_failures:
+            self._effects.append(SendToEntry(link, failure))
 
     def link_closed(self, link: int) -> None:
         """Note that a connection has ended; the session may resume."""
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -16,6 +16,7 @@
     "EntryBatch",
     "EntryMessage",
     "EntryPulse",
+    "FormerFailure",
     "Offer",
     "RunEnd",
     "RunEnded",
@@ -183,6 +184,17 @@
     ran_s: float
 
 
+class FormerFailure(Message, frozen=True, tag="former"):
+    """Tells that a run failed which a former process of the agent ordered.
+
+    :param task: name of the task.
+    :param run: number of the run.
+    """
+
+    task: str
+    run: int
+
+
 class Offer(Message, frozen=True, tag="offer"):
     """Reserves free capacity for this entry for a short time.
 
@@ -193,7 +205,9 @@
 
 
 EntryMessage = Attach | StartRun | StopRun | Demand | EntryPulse
-AgentMessage = Attached | WorkerStatus | AgentPulse | RunEnded | Offer
+AgentMessage = (
+    Attached | WorkerStatus | AgentPulse | RunEnded | FormerFailure | Offer
+)
 
 
 class EntryBatch(Message, frozen=True):
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -73,6 +73,13 @@
     )
 
 
+def plant_forgotten_failures(monkeypatch):
+    """An agent keeps to itself how runs of a former process failed."""
+    monkeypatch.setattr(
+        run_agent.RunAgent, "_take_former_end", lambda self, row: None
+    )
+
+
 def plant_deaf_entry(monkeypatch):
     """An entry does not notice that an agent is gone."""
     monkeypatch.setattr(attachments, "LOST_S", 1e9)
@@ -91,6 +98,11 @@
         (plant_hasty_loss, "TWICE", [("agent_freezes", 0.2)]),
         (plant_unasked_withdrawal, "TWICE", [("orders_carried_out_late", 0)]),
         (plant_endless_attempts, "BUDGET", [("all_workers_fail", 0.0005)]),
+        (
+            plant_forgotten_failures,
+            "BUDGET",
+            [("agent_killed", 0.05), ("all_workers_fail", 0.7)],
+        ),
         (plant_deaf_entry, "LOST", [("agent_is_gone", 0.2)]),
         (
             plant_hasty_boot,
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -65,6 +65,7 @@
     needs: dict[str, tuple[int, float]] = field(default_factory=dict)
     rejected_room: int = 0
     draining: bool = False
+    noted: set[tuple[str, int]] = field(default_factory=set)
 
     def report(self, now: float, draining: bool = False) -> WorkerReport:
         self.sequence += 1
@@ -135,6 +136,9 @@
         self.advance(now)
         if token >= self.token:
             self.token = token
+            self.noted |= {
+                (e.task, e.run) for e in self.ended if e.number <= acked_end
+            }
             self.ended = [e for e in self.ended if e.number > acked_end]
             if lease_end is not None:
                 self._extend(lease_end, now)
