Give each port out once in the process tests

Trace, from the test's folder: worker-2 had drawn port 22155, which entry-1 had been given but did not listen on yet; one of them could not bind. Six draws of 10,000 ports meet in one of 700 tests. Not load: the other process tests passed. The new test fails without the change.

--- a/packages/briarford-cli/tests/test_processes.py
+++ b/packages/briarford-cli/tests/test_processes.py
@@ -22,6 +22,7 @@
 JOB_WITHIN_S = 30.0
 POLL_S = 0.05
 PORTS = (20_000, 30_000)
+TAKEN: set[int] = set()  # given out, though nothing may listen there yet
 
 
 class Fleet:
@@ -96,11 +97,22 @@
     """Find a port that no process takes as its ephemeral one."""
     while True:
         port = random.randrange(*PORTS)
+        if port in TAKEN:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
+            TAKEN.add(port)
             return port
 
 
+def test_a_port_is_given_out_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process may listen on it long after it was chosen."""
+    first = free_port()
+    drawn = iter([first, first, free_port() + 1, *range(*PORTS)])
+    monkeypatch.setattr(random, "randrange", lambda *_: next(drawn))
+    assert free_port() != first
+
+
 async def wait_until(client: Client, entry: int, workers: int) -> None:
     deadline = time.time() + READY_WITHIN_S
     while time.time() < deadline:
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -42,11 +42,17 @@
 }
 
 
+TAKEN: set[int] = set()  # given out, though nothing may listen there yet
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    while True:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port: int = sock.getsockname()[1]
+        if port not in TAKEN:
+            TAKEN.add(port)
+            return port
 
 
 class WorkerServer:
