--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -185,7 +185,7 @@
         ahead = self._waiting.work_before(now + slack_s, now)
         if ahead <= 0.0:
             return None
-        own = sum(s.count * s.cpu * s.expected_s for s in request.steps)
+        own = sum(s.count * s.work for s in request.steps)
         wait_s = self._caution.factor * estimate_wait_s(
             ahead + own, self._drain.per_s(now)
         )
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -259,7 +259,7 @@
             "run-not-done", task=task.name, agent=view.name, how=how.value
         )
         if how is RunEnd.NO_ROOM:
-            self._admission.task_bounced(_work(task))
+            self._admission.task_bounced(task.spec.work)
         if how in _FAULTS:
             task.avoided.add(view.name)
         if how in _BACK_OFF:
@@ -398,7 +398,7 @@
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
         self._busy_names[task.name] += 1
         self._admission.task_started(
-            _work(task), now > task.start_by, task.job.estimated, now
+            task.spec.work, now > task.start_by, task.job.estimated, now
         )
         task.job.started = True
         status = view.status
@@ -548,10 +548,6 @@
     return slack_s if slack_s >= 0 else LATE_SLACK_S - slack_s
 
 
-def _work(task: Task) -> float:
-    return task.spec.cpu * task.spec.expected_s
-
-
 _FAULTS = frozenset({RunEnd.FAILED, RunEnd.STALLED, RunEnd.REJECTED})
 _FAILURES = frozenset({RunEnd.FAILED, RunEnd.REJECTED})
 _BACK_OFF = frozenset({RunEnd.UNAVAILABLE, RunEnd.UNANSWERED})
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -38,6 +38,11 @@
     preferred_rack: str = ""
     max_per_worker: int = 0
 
+    @property
+    def work(self) -> float:
+        """Thousandths of a processor times seconds that a task takes."""
+        return self.cpu * self.expected_s
+
 
 @dataclass(slots=True, frozen=True)
 class JobRequest:
--- a/packages/briarford/src/briarford/requests/waiting.py
+++ b/packages/briarford/src/briarford/requests/waiting.py
@@ -37,7 +37,7 @@
     def add(self, task: Task) -> None:
         """Add a task."""
         bisect.insort(self._tasks, task, key=_key)
-        self.work += _work(task)
+        self.work += task.spec.work
 
     def remove(self, task: Task) -> None:
         """Remove a task that is there."""
@@ -45,7 +45,7 @@
         while self._tasks[at] is not task:
             at += 1
         del self._tasks[at]
-        self.work -= _work(task)
+        self.work -= task.spec.work
 
     def in_order(self, now: float) -> Iterator[Task]:
         """Iterate: first those that may be in time, then the late ones.
@@ -67,8 +67,4 @@
         """Return the work that may be in time and is more urgent."""
         first = bisect.bisect_left(self._tasks, now, key=_key)
         last = bisect.bisect_left(self._tasks, start_by, key=_key)
-        return sum(_work(t) for t in self._tasks[first:last])
-
-
-def _work(task: Task) -> float:
-    return task.spec.cpu * task.spec.expected_s
+        return sum(t.spec.work for t in self._tasks[first:last])
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -327,9 +327,7 @@
             self._log("unknown-run", task=task, run=number)
             self._effects.append(WithdrawRun(0, task, number))
             return
-        if run.phase is RunPhase.ORDERED:
-            run.phase = RunPhase.RUNNING
-            run.started_at = run.progressed_at = now
+        run.note_start(now)
         if percent != run.percent:
             run.percent = percent
             run.progressed_at = now
@@ -366,9 +364,7 @@
         if run is None:
             return
         if result is OrderResult.STARTED:
-            if run.phase is RunPhase.ORDERED:
-                run.phase = RunPhase.RUNNING
-                run.started_at = run.progressed_at = now
+            run.note_start(now)
             return
         if result is OrderResult.UNANSWERED:
             if run.phase is RunPhase.ORDERED:
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -67,6 +67,12 @@
     sampled: bool = False
     end: RunEnd = RunEnd.STOPPED
 
+    def note_start(self, now: float) -> None:
+        """Take the first sign that the worker has started it."""
+        if self.phase is RunPhase.ORDERED:
+            self.phase = RunPhase.RUNNING
+            self.started_at = self.progressed_at = now
+
 
 @dataclass(slots=True)
 class Session:
