Make the data classes of the cores msgspec structures

An entry defines some forty at its start and creates several for each task.

Change: class statements only; fields, defaults and immutability are the same. Views, sessions, runs, jobs and tasks compare by identity now, as their users already assumed.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import logging
 import secrets
 from collections.abc import Sequence
 from typing import Protocol
 
+import msgspec.structs
+
 from briarford.runs import (
     Attach,
     EntryMessage,
@@ -211,7 +212,7 @@
         """
         worker = self.core.worker
         if worker is not None:
-            worker = dataclasses.replace(worker, clock_ms=0, sequence=0)
+            worker = msgspec.structs.replace(worker, clock_ms=0, sequence=0)
         address = f"{self._cfg.ip}:{self._cfg.rpc_port}"
         return AgentRecord(address, worker, self.core.recorded_slowness)
 
--- a/packages/briarford-daemon/src/briarford_daemon/http_client.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_client.py
@@ -10,9 +10,9 @@
 import asyncio
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from httptools import HttpParserError, HttpResponseParser
 
 from briarford.exceptions import SettingsError
@@ -24,8 +24,7 @@
 INFORMATIONAL_STATUSES = range(100, 200)
 
 
-@dataclass(slots=True, frozen=True)
-class HttpAnswer:
+class HttpAnswer(msgspec.Struct, frozen=True):
     """A complete HTTP answer.
 
     :param status: status code.
--- a/packages/briarford/src/briarford/jobs/messages.py
+++ b/packages/briarford/src/briarford/jobs/messages.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+
+import msgspec
 
 from briarford.messages import Message, encode
 
@@ -71,8 +72,7 @@
         return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
 
 
-@dataclass(slots=True, frozen=True)
-class QueuedTask:
+class QueuedTask(msgspec.Struct, frozen=True):
     """An attempt at a task that waits at its entry for a slot.
 
     :param ref: the attempt.
--- a/packages/briarford/src/briarford/jobs/state.py
+++ b/packages/briarford/src/briarford/jobs/state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+import msgspec
 
 from briarford.jobs.messages import JobSpec, QueuedTask, TaskRef
 from briarford.outcomes import (
@@ -19,8 +20,7 @@
 __all__ = ["Job", "JobTable"]
 
 
-@dataclass(slots=True)
-class Job:
+class Job(msgspec.Struct):
     """One job at its home entry.
 
     :param job_id: its id.
@@ -51,9 +51,11 @@
     results: list[bytes | None]
     missing: int
     attempts: list[int]
-    sent: dict[TaskRef, str] = field(default_factory=dict)
-    delayed_retries: dict[TaskRef, QueuedTask] = field(default_factory=dict)
-    not_started_counts: dict[int, int] = field(default_factory=dict)
+    sent: dict[TaskRef, str] = msgspec.field(default_factory=dict)
+    delayed_retries: dict[TaskRef, QueuedTask] = msgspec.field(
+        default_factory=dict
+    )
+    not_started_counts: dict[int, int] = msgspec.field(default_factory=dict)
     ran: bool = False
     outcome: Outcome | None = None
 
--- a/packages/briarford/src/briarford/limits/admission.py
+++ b/packages/briarford/src/briarford/limits/admission.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from briarford.jobs.messages import JobSpec
 from briarford.limits.config import LimitConfig
@@ -17,8 +17,7 @@
 MIN_RETRY_DELAY_S = 0.1
 
 
-@dataclass(slots=True, frozen=True)
-class Load:
+class Load(msgspec.Struct, frozen=True):
     """The load of one service at this entry when a job arrives.
 
     :param slots: slots that the entry can expect to use.
--- a/packages/briarford/src/briarford/limits/concurrency.py
+++ b/packages/briarford/src/briarford/limits/concurrency.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from briarford.limits.config import LimitConfig
 
@@ -23,8 +24,7 @@
 MS_PER_S = 1000.0
 
 
-@dataclass(slots=True)
-class MeanRunTime:
+class MeanRunTime(msgspec.Struct):
     """Smoothed logarithm of the run times at one number of running tasks.
 
     :param log_s: mean of the natural logarithm of the run time in seconds.
--- a/packages/briarford/src/briarford/limits/config.py
+++ b/packages/briarford/src/briarford/limits/config.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["LimitConfig"]
 
 
-@dataclass(slots=True, frozen=True)
-class LimitConfig:
+class LimitConfig(msgspec.Struct, frozen=True):
     """Thresholds at which jobs are refused, retried, hedged or throttled.
 
     :param max_queued: tasks that may be queued at one entry for one service.
--- a/packages/briarford/src/briarford/limits/health.py
+++ b/packages/briarford/src/briarford/limits/health.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+import msgspec
 
 from briarford.limits.config import LimitConfig
 
@@ -26,8 +27,7 @@
 MS_PER_S = 1000.0
 
 
-@dataclass(slots=True)
-class DecayingCounts:
+class DecayingCounts(msgspec.Struct):
     """Counts of results in which older results weigh less.
 
     Time is measured in results of the service, not in seconds: both counts
@@ -57,8 +57,7 @@
         self.failures += failed
 
 
-@dataclass(slots=True)
-class WorkerHealth:
+class WorkerHealth(msgspec.Struct):
     """Results and throttle state of one worker.
 
     :param counts: its results and failures.
@@ -70,15 +69,14 @@
         probe, to the next probe.
     """
 
-    counts: DecayingCounts = field(default_factory=DecayingCounts)
-    failed_jobs: set[str] = field(default_factory=set)
+    counts: DecayingCounts = msgspec.field(default_factory=DecayingCounts)
+    failed_jobs: set[str] = msgspec.field(default_factory=set)
     probe_at: float | None = None
     probing: bool = False
     wait_s: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class ThrottleChange:
+class ThrottleChange(msgspec.Struct, frozen=True):
     """A worker was throttled, its next probe postponed, or it was released.
 
     :param worker: its name.
--- a/packages/briarford/src/briarford/limits/quotas.py
+++ b/packages/briarford/src/briarford/limits/quotas.py
@@ -11,7 +11,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = ["QuotaDivider", "divide"]
 
@@ -40,8 +41,7 @@
     return parts
 
 
-@dataclass(slots=True)
-class QuotaPart:
+class QuotaPart(msgspec.Struct):
     """The part of one team's quota that this entry may use.
 
     :param quota: tasks of the team that may run at once, over all entries.
@@ -57,8 +57,7 @@
     grows_at: float | None = None
 
 
-@dataclass(slots=True)
-class FormerReport:
+class FormerReport(msgspec.Struct):
     """A replaced report of this entry that other entries may still use.
 
     :param demands: the reported running and queued tasks by team.
--- a/packages/briarford/src/briarford/outcomes.py
+++ b/packages/briarford/src/briarford/outcomes.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = [
     "Completed",
@@ -84,8 +85,7 @@
     UNSUPPORTED = "unsupported"
 
 
-@dataclass(slots=True, frozen=True)
-class Completed:
+class Completed(msgspec.Struct, frozen=True):
     """All tasks of a job completed.
 
     :param results: one JSON document per task, in the order of the tasks.
@@ -94,8 +94,7 @@
     results: tuple[bytes, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class Failed:
+class Failed(msgspec.Struct, frozen=True):
     """A job has no complete answer, and some of its tasks may have run.
 
     :param reason: why it failed.
@@ -115,8 +114,7 @@
     retry_at: float | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """A request was refused, and is known not to have run.
 
     :param reason: why it was refused.
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 from briarford.requests.job import StepSpec, Task
 from briarford.runs import Demand, WorkerStatus
@@ -13,8 +13,7 @@
 REMOTE_FACTOR = 2.0
 
 
-@dataclass(slots=True, frozen=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """An order to run a task, until the end of the run is known.
 
     :param task: the task.
@@ -35,8 +34,7 @@
     sent_at: float
 
 
-@dataclass(slots=True)
-class AgentView:
+class AgentView(msgspec.Struct, eq=False):
     """One agent, its connection and its worker, as the entry knows them.
 
     All times are Unix seconds on the clock of the entry, unless stated
@@ -107,11 +105,11 @@
     backoff_until: float = 0.0
     demand: Demand | None = None
     demand_sent_at: float = 0.0
-    dispatches: dict[int, Dispatch] = field(default_factory=dict)
+    dispatches: dict[int, Dispatch] = msgspec.field(default_factory=dict)
     in_flight_cpu: int = 0
     in_flight_memory_mb: int = 0
     in_flight_gpu: int = 0
-    unowned: list[tuple[float, Dispatch]] = field(default_factory=list)
+    unowned: list[tuple[float, Dispatch]] = msgspec.field(default_factory=list)
 
     @property
     def service(self) -> str:
--- a/packages/briarford/src/briarford/requests/effects.py
+++ b/packages/briarford/src/briarford/requests/effects.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from briarford.outcomes import Outcome
 from briarford.runs import EntryMessage
 
@@ -18,8 +19,7 @@
 ]
 
 
-@dataclass(slots=True, frozen=True)
-class SendToAgent:
+class SendToAgent(msgspec.Struct, frozen=True):
     """Send a message to an agent.
 
     :param link: number of the open connection to the agent.
@@ -29,8 +29,7 @@
     message: EntryMessage
 
 
-@dataclass(slots=True, frozen=True)
-class DialAgent:
+class DialAgent(msgspec.Struct, frozen=True):
     """Open a connection to an agent.
 
     The process reports the result with :meth:`Dispatcher.link_up` or
@@ -44,8 +43,7 @@
     address: str
 
 
-@dataclass(slots=True, frozen=True)
-class DropLink:
+class DropLink(msgspec.Struct, frozen=True):
     """Close a connection that the dispatcher no longer uses.
 
     :param link: number of the connection.
@@ -54,8 +52,7 @@
     link: int
 
 
-@dataclass(slots=True, frozen=True)
-class JobEnded:
+class JobEnded(msgspec.Struct, frozen=True):
     """Answer the clients that wait for a job.
 
     :param job: id of the job.
@@ -66,8 +63,7 @@
     outcome: Outcome
 
 
-@dataclass(slots=True, frozen=True)
-class EntryEvent:
+class EntryEvent(msgspec.Struct, frozen=True):
     """Log a decision.
 
     :param action: name of the log event.
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
+
+import msgspec
 
 from briarford.routes import Route
 
@@ -14,8 +15,7 @@
 EXPIRY_FACTOR = 3.0
 
 
-@dataclass(slots=True, frozen=True)
-class StepSpec:
+class StepSpec(msgspec.Struct, frozen=True):
     """One step of a job: a number of tasks with the same requirements.
 
     :param count: number of tasks.
@@ -48,8 +48,7 @@
         return self.cpu * self.expected_s
 
 
-@dataclass(slots=True, frozen=True)
-class JobRequest:
+class JobRequest(msgspec.Struct, frozen=True):
     """A job as its client submitted it.
 
     :param job: the id that the client chose.
@@ -76,8 +75,7 @@
     DONE = "done"
 
 
-@dataclass(slots=True, eq=False)
-class Task:
+class Task(msgspec.Struct, eq=False):
     """A task of a job.
 
     :param name: its name at workers, unique across jobs.
@@ -105,11 +103,10 @@
     last_run: int = 0
     agent: str = ""
     dispatch: int = 0
-    failed_agents: set[str] = field(default_factory=set)
+    failed_agents: set[str] = msgspec.field(default_factory=set)
 
 
-@dataclass(slots=True, eq=False)
-class Job:
+class Job(msgspec.Struct, eq=False):
     """A job that was admitted and has no outcome yet.
 
     :param request: what the client sent.
@@ -128,7 +125,7 @@
     route: Route
     accepted_at: float
     objective_at: float
-    tasks: list[Task] = field(default_factory=list)
+    tasks: list[Task] = msgspec.field(default_factory=list)
     started: bool = False
     estimated: bool = True
     ended: bool = False
--- a/packages/briarford/src/briarford/routes/configuration.py
+++ b/packages/briarford/src/briarford/routes/configuration.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 __all__ = ["Configuration", "ConfigurationHolder", "Route"]
 
 
-@dataclass(slots=True, frozen=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """The service and the objective of requests with a host and a path.
 
     A job of the route is to end within ``stretch`` times the expected run
@@ -34,8 +33,7 @@
     target_s: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One version of the operators' record.
 
     :param version: rises with each new record, by any number.
@@ -48,8 +46,7 @@
     services: frozenset[str] = frozenset()
 
 
-@dataclass(slots=True)
-class ConfigurationHolder:
+class ConfigurationHolder(msgspec.Struct):
     """Holds the configuration in force, and never returns to an older one.
 
     :param current: the configuration in force; None if none was read yet.
@@ -58,7 +55,7 @@
 
     current: Configuration | None = None
     in_force_since: float = 0.0
-    _by_host: dict[str, list[Route]] = field(default_factory=dict)
+    _by_host: dict[str, list[Route]] = msgspec.field(default_factory=dict)
 
     def adopt_if_newer(self, cfg: Configuration, now: float) -> bool:
         """Put a configuration in force if it is newer than the current one.
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -15,9 +15,11 @@
 
 import math
 from collections import Counter, deque
-from dataclasses import dataclass, replace
 from typing import Any
 
+import msgspec
+from msgspec.structs import replace
+
 from briarford.runs.capacity import CapacityTracker
 from briarford.runs.health import FailureGuard, Slowness
 from briarford.runs.messages import (
@@ -84,8 +86,7 @@
 _LOST_RUN_REASONS = frozenset({"lapsed", "broken", "alone"})
 
 
-@dataclass(slots=True, frozen=True)
-class PlaceOrder:
+class PlaceOrder(msgspec.Struct, frozen=True):
     """Order the worker to start a run.
 
     The caller passes the worker's answer to :meth:`RunAgent.order_answered`.
@@ -102,8 +103,7 @@
     payload: str
 
 
-@dataclass(slots=True, frozen=True)
-class WithdrawRun:
+class WithdrawRun(msgspec.Struct, frozen=True):
     """Order the worker to stop a run, and repeat the order until it answers.
 
     The caller reports the answer to :meth:`RunAgent.stop_answered`.
@@ -119,8 +119,7 @@
     run: int
 
 
-@dataclass(slots=True, frozen=True)
-class SendToEntry:
+class SendToEntry(msgspec.Struct, frozen=True):
     """Send a message to an entry.
 
     :param link: number of the connection to send it on.
@@ -131,8 +130,7 @@
     message: AgentMessage
 
 
-@dataclass(slots=True, frozen=True)
-class AgentEvent:
+class AgentEvent(msgspec.Struct, frozen=True):
     """Log a decision.
 
     :param action: name of the log event.
--- a/packages/briarford/src/briarford/runs/directory.py
+++ b/packages/briarford/src/briarford/runs/directory.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["AgentAddress"]
 
 
-@dataclass(slots=True, frozen=True)
-class AgentAddress:
+class AgentAddress(msgspec.Struct, frozen=True):
     """Where an agent accepts connections of entries.
 
     :param address: host and port.
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
+
+import msgspec
 
 from briarford.runs.messages import (
     Demand,
@@ -29,8 +30,7 @@
     STOPPING = "stopping"
 
 
-@dataclass(slots=True)
-class Run:
+class Run(msgspec.Struct, eq=False):
     """A run that uses capacity of the worker.
 
     :param key: number of the run at this agent.
@@ -78,8 +78,7 @@
             self.started_at = self.progressed_at = now
 
 
-@dataclass(slots=True)
-class Session:
+class Session(msgspec.Struct, eq=False):
     """The session of one incarnation of an entry.
 
     :param entry: name of the entry.
@@ -108,8 +107,8 @@
     expires_at: float
     last_dispatch: int = 0
     last_number: int = 0
-    ended: list[RunEnded] = field(default_factory=list)
-    runs: dict[int, Run] = field(default_factory=dict)
+    ended: list[RunEnded] = msgspec.field(default_factory=list)
+    runs: dict[int, Run] = msgspec.field(default_factory=dict)
     demand: Demand | None = None
     start_by: float = 0.0
     last_status: WorkerStatus | None = None
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = [
     "Capacity",
@@ -19,8 +20,7 @@
 ]
 
 
-@dataclass(slots=True, frozen=True)
-class Capacity:
+class Capacity(msgspec.Struct, frozen=True):
     """An amount of processors, memory and accelerators.
 
     :param cpu: thousandths of a processor.
@@ -33,8 +33,7 @@
     gpu: int
 
 
-@dataclass(slots=True, frozen=True)
-class WorkerReport:
+class WorkerReport(msgspec.Struct, frozen=True):
     """A worker's heartbeat.
 
     Agents store it under these field names, for the next process.
@@ -87,8 +86,7 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True, frozen=True)
-class RunningRow:
+class RunningRow(msgspec.Struct, frozen=True):
     """A run in a worker's list of running runs.
 
     :param task: name of the task.
@@ -101,8 +99,7 @@
     percent: int
 
 
-@dataclass(slots=True, frozen=True)
-class EndedRow:
+class EndedRow(msgspec.Struct, frozen=True):
     """An ended run in a worker's list of ended runs.
 
     :param number: increases with each ended run of this incarnation of the
@@ -119,8 +116,7 @@
     how: str
 
 
-@dataclass(slots=True, frozen=True)
-class RunListing:
+class RunListing(msgspec.Struct, frozen=True):
     """A worker's lists of running and ended runs at one moment.
 
     :param born_ms: when the incarnation of the worker started that answered,
--- a/packages/briarford/src/briarford/store/guard.py
+++ b/packages/briarford/src/briarford/store/guard.py
@@ -8,7 +8,8 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = ["CallGuard", "Deferred", "GuardLimits"]
 
@@ -19,8 +20,7 @@
 ROUNDING_TOKENS = 1e-4
 
 
-@dataclass(slots=True, frozen=True)
-class GuardLimits:
+class GuardLimits(msgspec.Struct, frozen=True):
     """Limits for the calls of one process to the key-value service.
 
     :param calls_per_s: calls that the process may make per second on average.
@@ -37,8 +37,7 @@
     longest_delay_s: float = 3.0
 
 
-@dataclass(slots=True, frozen=True)
-class Deferred:
+class Deferred(msgspec.Struct, frozen=True):
     """The refusal of a call, which may be made later.
 
     :param reason: ``circuit-open`` or ``budget-spent``.
--- a/packages/briarford/src/briarford/store/interface.py
+++ b/packages/briarford/src/briarford/store/interface.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 __all__ = ["KeyListing", "KeyValue", "Store"]
 
 
-@dataclass(slots=True, frozen=True)
-class KeyValue:
+class KeyValue(msgspec.Struct, frozen=True):
     """One key with its value.
 
     :param key: the key.
@@ -25,8 +25,7 @@
     version: int
 
 
-@dataclass(slots=True, frozen=True)
-class KeyListing:
+class KeyListing(msgspec.Struct, frozen=True):
     """All keys under a prefix at one revision of the store.
 
     :param revision: the revision; a watch continues from it.
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec.structs
 import pytest
 
 from briarford.runs import (
@@ -225,9 +224,9 @@
 def test_slowness_of_an_earlier_incarnation_is_not_restored():
     """A restarted worker may be faster or slower than before."""
     agent = make_agent("e")
-    other = dataclasses.replace(agent.worker, born_ms=2)
+    other = msgspec.structs.replace(agent.worker, born_ms=2)
     agent.worker_reported(other, NOW)
-    agent.restore_worker(dataclasses.replace(other, born_ms=1), 1.8, NOW)
+    agent.restore_worker(msgspec.structs.replace(other, born_ms=1), 1.8, NOW)
     assert agent.state(NOW)["worker_slowness"] == 1.0
 
 
