Serve the platform's HTTP calls with a small server on httptools

Change: HttpListener answers client calls, checks, heartbeats and scrapes. blacksheep and uvicorn stay for the project's own interface.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/metrics.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/metrics.py
@@ -6,11 +6,13 @@
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
-from blacksheep import Application, Request, Response
 
-from briarford_daemon.http_routes import build_app, metrics_response
+from briarford_daemon.http_listener import Handler, HttpCall, HttpReply
 
-__all__ = ["FleetMetrics", "build_metrics_app"]
+__all__ = ["FleetMetrics", "handle_scrapes"]
+
+METRICS_PATH = "/metrics"
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 
 # Buckets from the time of a short task to three times the objective of the
 # longest tasks.
@@ -103,10 +105,12 @@
         return content
 
 
-def build_metrics_app(metrics: FleetMetrics) -> Application:
-    """Return the HTTP application that serves ``/metrics``."""
+def handle_scrapes(metrics: FleetMetrics) -> Handler:
+    """Return the handler that serves ``/metrics``."""
 
-    async def show(req: Request) -> Response:
-        return metrics_response(metrics.render())
+    def handle(call: HttpCall) -> HttpReply:
+        if call.path != METRICS_PATH:
+            return HttpReply(404)
+        return HttpReply(200, metrics.render(), METRICS_CONTENT_TYPE)
 
-    return build_app("metrics", [("GET", "/metrics", show)])
+    return handle
--- /dev/null
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -0,0 +1,177 @@
+"""The HTTP server of the platform's processes, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from briarford_daemon import http_listener as listener_module
+from briarford_daemon.http_listener import HttpListener, HttpReply
+
+LIMIT_S = 10.0
+
+
+class Handler:
+    """Echoes bodies; a request for ``/wait`` waits until ``go_on`` is set."""
+
+    def __init__(self):
+        self.go_on = asyncio.Event()
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+        self.calls = []
+
+    def __call__(self, call):
+        self.calls.append(call)
+        if call.path == "/fail":
+            raise ValueError("broken handler")
+        if call.path == "/wait":
+            return self.wait(call)
+        return HttpReply(200, call.body or b"{}", headers=(("X-A", "b"),))
+
+    async def wait(self, call):
+        self.started.set()
+        try:
+            await self.go_on.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        return HttpReply(200, b"waited")
+
+
+@asynccontextmanager
+async def connected():
+    handler = Handler()
+    listener = HttpListener(handler)
+    await listener.start()
+    host, port = listener.address.split(":")
+    async with asyncio.timeout(LIMIT_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            yield handler, listener, reader, writer
+        finally:
+            writer.close()
+            await listener.stop()
+
+
+def request(method="POST", path="/", body=b"", *headers):
+    lines = [f"{method} {path} HTTP/1.1", "Host: h.example", *headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    size = next(
+        int(line.partition(":")[2])
+        for line in head.split("\r\n")
+        if line.lower().startswith("content-length")
+    )
+    return int(head.split()[1]), await reader.readexactly(size), head
+
+
+@pytest.mark.parametrize(
+    ("raw", "path", "body"),
+    [
+        (request(body=b"abc"), "/", b"abc"),
+        (request("PUT", "/a/b?x=1", b"z" * 70_000), "/a/b", b"z" * 70_000),
+        (
+            request("POST", "/c", b"", "Transfer-Encoding: chunked")
+            + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            "/c",
+            b"abcde",
+        ),
+    ],
+    ids=["plain", "large with query", "chunked"],
+)
+async def test_requests_are_read_whole(raw, path, body):
+    async with connected() as (handler, _, reader, writer):
+        for part in (raw[:10], raw[10:30], raw[30:]):
+            writer.write(part)
+            await asyncio.sleep(0.005)
+        status, answer, head = await read_answer(reader)
+        assert (status, answer) == (200, body)
+        assert "X-A: b" in head
+        assert handler.calls[0].path == path
+        assert handler.calls[0].headers["host"] == "h.example"
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    async with connected() as (handler, _, reader, writer):
+        sent = [
+            request(path="/wait"),
+            *(request(body=b"%d" % n) for n in range(50)),
+        ]
+        writer.write(b"".join(sent))
+        await handler.started.wait()
+        handler.go_on.set()
+        answers = [(await read_answer(reader))[1] for _ in sent]
+        assert answers == [b"waited", *(b"%d" % n for n in range(50))]
+
+
+async def test_a_request_is_cancelled_when_its_client_leaves():
+    async with connected() as (handler, _, _reader, writer):
+        writer.write(request(path="/wait"))
+        await handler.started.wait()
+        writer.close()
+        await handler.cancelled.wait()
+
+
+async def test_a_stop_answers_what_is_in_flight_and_closes_idle_connections():
+    async with connected() as (handler, listener, reader, writer):
+        host, port = listener.address.split(":")
+        idle, idle_writer = await asyncio.open_connection(host, int(port))
+        writer.write(request(path="/wait"))
+        await handler.started.wait()
+        stopping = asyncio.create_task(listener.stop())
+        assert await idle.read() == b""
+        handler.go_on.set()
+        status, body, head = await read_answer(reader)
+        assert (status, body) == (200, b"waited")
+        assert "Connection: close" in head
+        assert await reader.read() == b""
+        await stopping
+        idle_writer.close()
+
+
+async def test_a_request_in_transmission_at_a_stop_is_answered():
+    async with connected() as (_, listener, reader, writer):
+        raw = request(body=b"abc")
+        writer.write(raw[:20])
+        await asyncio.sleep(0.02)
+        stopping = asyncio.create_task(listener.stop())
+        await asyncio.sleep(0.02)
+        writer.write(raw[20:])
+        assert (await read_answer(reader))[:2] == (200, b"abc")
+        await stopping
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"not http\r\n\r\n", 400),
+        (request("POST", "/", b"", "X: " + "y" * 70_000), 431),
+        (
+            request("POST", "/", b"", "Content-Length: 200000")
+            + b"z" * 200_000,
+            413,
+        ),
+        (request(path="/fail"), 500),
+    ],
+    ids=["unreadable", "large header", "large body", "handler fails"],
+)
+async def test_bad_requests_get_an_error(monkeypatch, raw, status):
+    monkeypatch.setattr(listener_module, "MAX_BODY_BYTES", 100_000)
+    async with connected() as (_, _, reader, writer):
+        writer.write(raw)
+        assert (await read_answer(reader))[0] == status
+
+
+async def test_an_idle_connection_is_closed(monkeypatch):
+    monkeypatch.setattr(listener_module, "IDLE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(listener_module, "SWEEP_PERIOD_S", 0.02)
+    async with connected() as (_, _, reader, writer):
+        writer.write(request(body=b"abc")[:20])
+        assert await reader.read() == b""
--- /dev/null
+++ b/tests/adapter/test_imports.py
@@ -0,0 +1,57 @@
+"""What the processes on the platform import.
+
+A process serves again only once its modules are imported, and a restart of
+all machines imports them everywhere at once.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+# Distributions that a role may import, apart from the standard library.
+ALLOWED = {
+    "briarford",
+    "briarford_daemon",
+    "briarford_platform",
+    "aioprometheus",
+    "httptools",
+    "msgspec",
+    "orjson",
+    "pythonjsonlogger",
+    "quantile",
+    "typing_extensions",
+    "uvloop",
+    "xxhash",
+}
+# Slices of the library and modules of the daemon for other roles.
+UNUSED = {
+    "agent": ("briarford.requests", "briarford.routes", "briarford.homes"),
+    "entry": ("briarford.homes", "briarford.placement", "briarford.dispatch"),
+}
+
+SCRIPT = """
+import sys
+before = set(sys.modules)
+import briarford_platform.__main__, briarford_platform.{role}
+new = set(sys.modules) - before
+print(*sorted(m for m in new if getattr(sys.modules[m], "__file__", None)))
+"""
+
+
+@pytest.mark.parametrize("role", ["agent", "entry"])
+def test_a_role_imports_only_what_it_uses(role):
+    """Guards against frameworks that double the time of a restart."""
+    run = subprocess.run(
+        [sys.executable, "-c", SCRIPT.format(role=role)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    modules = run.stdout.split()
+    tops = {m.partition(".")[0] for m in modules}
+    foreign = tops - ALLOWED - sys.stdlib_module_names
+    assert not {m for m in foreign if not m.startswith("__editable__")}
+    assert not [m for m in modules if m.startswith(UNUSED[role])]
