Replace gRPC between processes by frames of MessagePack

Cause: a message each way cost 96 us of processor time through grpclib on uvloop (HTTP/2 in Python), at five heartbeats a second on 840 sessions of a large site.

--- a/packages/briarford-bench/src/briarford_bench/systems.py
+++ b/packages/briarford-bench/src/briarford_bench/systems.py
@@ -11,8 +11,6 @@
 from collections.abc import Sequence
 from typing import Any, Protocol
 
-from grpclib.events import RecvMessage, SendMessage, listen
-
 from briarford.homes.messages import ExchangeReply, ExchangeRequest
 from briarford.sessions import AgentBatch, EntryBatch
 from briarford_bench.backend_core import Start
@@ -180,19 +178,13 @@
         self.backends.append(backend)
 
     def _count_server_messages(self, entry: EntryProcess) -> None:
-        """Count the wasted messages that pass the gRPC server of an entry.
+        """Count the wasted messages that pass the server of an entry.
 
         These are the batches of the sessions with agents and the calls that
         other entries make here. The calls that this entry makes are counted
         at the entry that serves them.
         """
-
-        async def count(event: RecvMessage | SendMessage) -> None:
-            self._count_message(event.message)
-
-        server = entry.daemon._server
-        listen(server, RecvMessage, count)
-        listen(server, SendMessage, count)
+        entry.daemon.observe_messages(self._count_message)
 
     def _count_message(self, message: Any) -> None:
         kind = classify_waste(message)
--- a/packages/briarford-daemon/src/briarford_daemon/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/agent.py
@@ -1,14 +1,13 @@
 """The agent daemon: runs the agent's core and performs its effects.
 
 The core, :class:`briarford.dispatch.agent.AgentCore`, decides without I/O.
-The daemon keeps one gRPC stream to each entry that the agent is attached to,
+The daemon keeps one stream to each entry that the agent is attached to,
 and makes the HTTP calls that start tasks at the backend server.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import random
 import secrets
@@ -16,9 +15,6 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-
 from briarford.dispatch.agent import AgentCore, AgentEffect, AgentMessage
 from briarford.dispatch.messages import (
     AgentStopped,
@@ -38,16 +34,21 @@
 )
 from briarford.membership import choose_entries
 from briarford.presets import Adopted, PresetHolder
-from briarford.sessions import AgentBatch, EntryAddress, WorkerInfo
+from briarford.sessions import (
+    AgentBatch,
+    EntryAddress,
+    EntryBatch,
+    WorkerInfo,
+)
 from briarford_daemon.backend import BackendCaller
 from briarford_daemon.clock import Clock
 from briarford_daemon.driver import CoreDriver
+from briarford_daemon.frames import CONNECTION_ERRORS, dial
 from briarford_daemon.identity import new_incarnation
 from briarford_daemon.logs import log_decision
 from briarford_daemon.metrics import Metrics
-from briarford_daemon.settings import AgentSettings, split_address
-from briarford_daemon.streams import BatchQueue
-from briarford_daemon.wire import MsgpackCodec, attach_method
+from briarford_daemon.settings import AgentSettings
+from briarford_daemon.streams import SESSIONS_SERVICE, BatchStream
 
 __all__ = ["AgentDaemon"]
 
@@ -64,12 +65,27 @@
         of an earlier session with the same entry are dropped.
     """
 
-    __slots__ = ("outgoing", "session", "task")
+    __slots__ = ("_stream", "_unsent", "session", "task")
 
     def __init__(self, session: int) -> None:
         self.session = session
-        self.outgoing: BatchQueue[AgentBatch] = BatchQueue()
         self.task: asyncio.Task[None] | None = None
+        self._unsent: list[AgentBatch] = []
+        self._stream: BatchStream[AgentBatch, EntryBatch] | None = None
+
+    def send(self, batch: AgentBatch) -> None:
+        """Send a batch, or keep it until the stream is open."""
+        if self._stream is None:
+            self._unsent.append(batch)
+        else:
+            self._stream.send(batch)
+
+    def open(self, stream: BatchStream[AgentBatch, EntryBatch]) -> None:
+        """Use a stream, and send on it what was kept."""
+        self._stream = stream
+        for batch in self._unsent:
+            stream.send(batch)
+        self._unsent.clear()
 
 
 class AgentDaemon:
@@ -201,7 +217,7 @@
         if stream is None or stream.session != effect.session:
             return
         self.metrics.messages["batches_out"] += 1
-        stream.outgoing.put(effect.batch)
+        stream.send(effect.batch)
 
     @_perform.register
     def _(self, effect: CallBackend) -> None:
@@ -260,37 +276,33 @@
     async def _run_session(
         self, address: str, session_stream: _EntryStream
     ) -> None:
-        host, port = split_address(address)
-        channel = Channel(host, port, codec=MsgpackCodec())
+        stream: BatchStream[AgentBatch, EntryBatch] | None = None
         try:
-            await self._run_stream(address, session_stream, channel)
-        except (OSError, GRPCError, StreamTerminatedError) as exc:
+            stream = await dial(
+                address,
+                SESSIONS_SERVICE,
+                lambda connection: BatchStream(connection, EntryBatch),
+            )
+            await self._run_stream(address, session_stream, stream)
+        except CONNECTION_ERRORS as exc:
             LOGGER.debug(
                 "stream to entry lost",
                 extra={"entry": address, "error": repr(exc)},
             )
         finally:
-            channel.close()
+            if stream is not None:
+                stream.close()
             self._driver.post(EntryLost(address, session_stream.session))
 
     async def _run_stream(
-        self, address: str, session_stream: _EntryStream, channel: Channel
+        self,
+        address: str,
+        session_stream: _EntryStream,
+        stream: BatchStream[AgentBatch, EntryBatch],
     ) -> None:
-        async with attach_method(channel).open() as stream:
-            await stream.send_request()
-            writer = asyncio.create_task(
-                session_stream.outgoing.write_to(stream)
+        session_stream.open(stream)
+        while (batch := await stream.receive()) is not None:
+            self.metrics.messages["batches_in"] += 1
+            self._driver.post(
+                EntryBatchArrived(address, session_stream.session, batch)
             )
-            try:
-                async for batch in stream:
-                    self.metrics.messages["batches_in"] += 1
-                    self._driver.post(
-                        EntryBatchArrived(
-                            address, session_stream.session, batch
-                        )
-                    )
-            finally:
-                writer.cancel()
-                with contextlib.suppress(asyncio.CancelledError, Exception):
-                    await writer
-            await stream.cancel()
--- a/packages/briarford-daemon/src/briarford_daemon/agent_streams.py
+++ b/packages/briarford-daemon/src/briarford_daemon/agent_streams.py
@@ -1,4 +1,4 @@
-"""The gRPC streams of an entry's sessions with agents.
+"""The streams of an entry's sessions with agents.
 
 An agent opens one stream per session. Its batches are posted to the entry's
 core, and the core's batches are written back to the stream.
@@ -7,13 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import logging
 from collections.abc import Callable
-from typing import Any
-
-from grpclib.server import Stream
 
 from briarford.dispatch.messages import (
     AgentAttached,
@@ -23,8 +19,9 @@
     SendToAgent,
 )
 from briarford.sessions import AgentBatch, EntryBatch
+from briarford_daemon.frames import CONNECTION_ERRORS, FrameConnection
 from briarford_daemon.metrics import Metrics
-from briarford_daemon.streams import BatchQueue
+from briarford_daemon.streams import BatchStream
 
 __all__ = ["AgentStreams"]
 
@@ -33,17 +30,7 @@
 PostToCore = Callable[[AgentAttached | AgentBatchArrived | AgentLost], None]
 
 
-class _AgentStream:
-    """One stream of an agent.
-
-    :param task: serves the stream; cancelling it ends the stream.
-    """
-
-    __slots__ = ("outgoing", "task")
-
-    def __init__(self, task: asyncio.Task[Any]) -> None:
-        self.task = task
-        self.outgoing: BatchQueue[EntryBatch] = BatchQueue()
+EntryStream = BatchStream[EntryBatch, AgentBatch]
 
 
 class AgentStreams:
@@ -51,36 +38,41 @@
 
     :param post: posts a message to the entry's core.
     :param metrics: counts batches, starts, cancellations and results.
+
+    ``observe``, if set, is called with each batch in either direction.
     """
 
     def __init__(self, post: PostToCore, metrics: Metrics) -> None:
         self._post = post
         self._metrics = metrics
-        self._streams: dict[int, _AgentStream] = {}
+        self._streams: dict[int, EntryStream] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
         self._conn_ids = itertools.count(1)
+        self.observe: Callable[[object], None] | None = None
 
-    async def attach(self, stream: Stream[AgentBatch, EntryBatch]) -> None:
-        """Serve one stream until it ends.
+    def accept(self, connection: FrameConnection) -> EntryStream:
+        """Begin to serve a connection; return what handles its frames.
 
         The core learns of the stream by ``AgentAttached`` and of its end by
         ``AgentLost``.
         """
-        task = asyncio.current_task()
-        if task is None:
-            raise RuntimeError("a session must be served by an asyncio task")
         conn = next(self._conn_ids)
-        agent_stream = _AgentStream(task)
-        self._streams[conn] = agent_stream
+        stream: EntryStream = BatchStream(connection, AgentBatch)
+        self._streams[conn] = stream
         self._post(AgentAttached(conn))
-        writer = asyncio.create_task(agent_stream.outgoing.write_to(stream))
+        task = asyncio.create_task(self._serve(conn, stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return stream
+
+    async def _serve(self, conn: int, stream: EntryStream) -> None:
         try:
             await self._receive_batches(conn, stream)
+        except CONNECTION_ERRORS as exc:
+            LOGGER.info("stream of agent lost", extra={"error": repr(exc)})
         finally:
-            writer.cancel()
             self._streams.pop(conn, None)
             self._post(AgentLost(conn))
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await writer
 
     def send(self, effect: SendToAgent) -> None:
         """Queue a batch for a stream; drop it if the stream has ended."""
@@ -93,27 +85,26 @@
         counts["cancels_out"] += len(effect.batch.cancels)
         if not effect.batch.starts:
             counts["idle_out"] += 1
-        stream.outgoing.put(effect.batch)
+        if self.observe is not None:
+            self.observe(effect.batch)
+        stream.send(effect.batch)
 
     def close_session(self, effect: CloseSession) -> None:
         """End the stream of a session that the core closes."""
         stream = self._streams.pop(effect.conn, None)
         LOGGER.info("session closed", extra={"reason": effect.reason})
         if stream is not None:
-            stream.task.cancel()
+            stream.close()
 
     def close(self) -> None:
         """End all streams."""
-        for stream in self._streams.values():
-            stream.task.cancel()
-
-    async def _receive_batches(
-        self, conn: int, stream: Stream[AgentBatch, EntryBatch]
-    ) -> None:
-        while True:
-            batch = await stream.recv_message()
-            if batch is None:
-                return
+        for stream in list(self._streams.values()):
+            stream.close()
+
+    async def _receive_batches(self, conn: int, stream: EntryStream) -> None:
+        while (batch := await stream.receive()) is not None:
+            if self.observe is not None:
+                self.observe(batch)
             self._metrics.messages["batches_in"] += 1
             if not batch.results:
                 self._metrics.messages["idle_in"] += 1
--- a/packages/briarford-daemon/src/briarford_daemon/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry.py
@@ -1,7 +1,7 @@
 """The entry daemon: runs the entry's core and connects it to the network.
 
 The core, :class:`briarford.dispatch.entry.EntryCore`, decides without I/O.
-Around it are the gRPC server for agents and other entries, the local jobs and
+Around it are the server for agents and other entries, the local jobs and
 the routing of ids to their homes, the entry's membership in the view (the
 record of the member entries), and the watcher of the preset record.
 """
@@ -12,11 +12,10 @@
 import contextlib
 import random
 import secrets
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-from grpclib.server import Server
-
 from briarford.dispatch.entry import EntryCore, EntryEffect, EntryMessage
 from briarford.dispatch.messages import (
     CloseSession,
@@ -44,16 +43,17 @@
 from briarford_daemon.agent_streams import AgentStreams
 from briarford_daemon.clock import Clock
 from briarford_daemon.driver import CoreDriver
+from briarford_daemon.frames import FrameServer
 from briarford_daemon.identity import new_incarnation
 from briarford_daemon.local_jobs import LocalJobs
 from briarford_daemon.logs import log_decision
 from briarford_daemon.metrics import Metrics
-from briarford_daemon.peers import Peers, PeerService
+from briarford_daemon.peers import PEERS_SERVICE, Peers, PeerService
 from briarford_daemon.preset_watcher import PresetWatcher
 from briarford_daemon.registration import Membership
 from briarford_daemon.settings import EntrySettings, split_address
 from briarford_daemon.store_client import HttpStore
-from briarford_daemon.wire import MsgpackCodec, Sessions
+from briarford_daemon.streams import SESSIONS_SERVICE
 
 __all__ = ["EntryDaemon"]
 
@@ -102,7 +102,7 @@
         self._watcher: PresetWatcher | None = None
 
     async def start(self) -> None:
-        """Serve agents and other entries over gRPC and join the view.
+        """Serve agents and other entries and join the view.
 
         The HTTP interface is served by the caller.
         """
@@ -129,7 +129,7 @@
             self.clock,
             self._on_members_changed,
         )
-        await self._start_grpc_server()
+        await self._start_frame_server()
         self._membership.start(self.settings.peers)
         await self._follow_presets()
 
@@ -160,7 +160,6 @@
         self.peers.close()
         self._server.close()
         self._streams.close()
-        await self._server.wait_closed()
         if self._store is not None:
             await self._store.close()
 
@@ -237,15 +236,22 @@
             for w in self.core.placer.workers.values()
         ]
 
-    async def _start_grpc_server(self) -> None:
-        services: list[Any] = [
-            Sessions(self._streams.attach),
-            PeerService(self.peers),
-        ]
-        self._server = Server(services, codec=MsgpackCodec())
+    async def _start_frame_server(self) -> None:
+        self._peer_service = PeerService(self.peers)
+        self._server = FrameServer(
+            {
+                SESSIONS_SERVICE: self._streams.accept,
+                PEERS_SERVICE: self._peer_service.handler(),
+            }
+        )
         host, port = split_address(self.settings.rpc)
         await self._server.start(host, port)
 
+    def observe_messages(self, observe: Callable[[object], None]) -> None:
+        """Have a function called with each message of agents and entries."""
+        self._streams.observe = observe
+        self._peer_service.observe = observe
+
     def _on_members_changed(self, members: tuple[Member, ...]) -> None:
         self._members = members
         entries = tuple(
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
@@ -1,26 +1,19 @@
-"""The gRPC connections between entries and agents.
+"""The connections between entries and agents.
 
-An entry dials an agent and keeps one bidirectional stream open. A connection
-has a number that the process allocates, its link. grpclib is given a
-MessagePack codec, so the message classes of :mod:`briarford.runs` are sent
-without generated code.
+An entry dials an agent and keeps one connection open. It has a number that
+the process allocates, its link. The frames on it are batches of the message
+classes of :mod:`briarford.runs`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import logging
 from collections.abc import Callable, Sequence
-from typing import Any, Generic, TypeVar
-
-import msgspec
-from grpclib.client import Channel, StreamStreamMethod
-from grpclib.const import Cardinality, Handler
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from typing import Generic, TypeVar
 
+from briarford.messages import decode, encode
 from briarford.runs import (
     AgentBatch,
     AgentMessage,
@@ -28,42 +21,43 @@
     EntryBatch,
     EntryMessage,
 )
-from briarford_daemon.settings import split_address
-from briarford_daemon.streams import BatchQueue
-from briarford_daemon.wire import MsgpackCodec
+from briarford_daemon.frames import (
+    CONNECTION_ERRORS,
+    FrameConnection,
+    FrameServer,
+    dial,
+)
 
 __all__ = ["AgentLinks", "EntryLinks"]
 
 LOGGER = logging.getLogger("briarford.links")
 
-RUNS_PATH = "/briarford.Runs/Attach"
+RUNS_SERVICE = "briarford.runs/1"
 DIAL_TIMEOUT_S = 0.4  # a handshake between zones takes a few milliseconds
 
-_CONNECTION_ERRORS = (
-    OSError,
-    GRPCError,
-    StreamTerminatedError,
-    TimeoutError,
-    msgspec.MsgspecError,
-)
-
 M = TypeVar("M")
-B = TypeVar("B")
 
 
-class _Outbox(Generic[M, B]):
-    """Collects the messages of one turn of the event loop in one batch.
+class _Outbox(Generic[M]):
+    """Sends the messages of one turn of the event loop as one batch.
 
+    :param connection: the connection of the link.
     :param make_batch: makes a batch of messages in their order.
     """
 
-    def __init__(self, make_batch: Callable[[tuple[M, ...]], B]) -> None:
+    __slots__ = ("_connection", "_make_batch", "_pending")
+
+    def __init__(
+        self,
+        connection: FrameConnection,
+        make_batch: Callable[[tuple[M, ...]], object],
+    ) -> None:
+        self._connection = connection
         self._make_batch = make_batch
         self._pending: list[M] = []
-        self.queue: BatchQueue[B] = BatchQueue()
 
     def put(self, message: M) -> None:
-        """Add a message; a batch with it is queued in the next turn."""
+        """Add a message; a batch with it is sent in the next turn."""
         if not self._pending:
             asyncio.get_running_loop().call_soon(self._flush)
         self._pending.append(message)
@@ -71,7 +65,7 @@
     def _flush(self) -> None:
         batch = self._make_batch(tuple(self._pending))
         self._pending.clear()
-        self.queue.put(batch)
+        self._connection.send(encode(batch))
 
 
 class AgentLinks:
@@ -94,25 +88,16 @@
         self._on_messages = on_messages
         self._on_closed = on_closed
         self._link_numbers = itertools.count(1)
-        self._outboxes: dict[int, _Outbox[AgentMessage, AgentBatch]] = {}
-        self._server: Server | None = None
+        self._outboxes: dict[int, _Outbox[AgentMessage]] = {}
+        self._server = FrameServer({RUNS_SERVICE: self._accept})
 
-    def __mapping__(self) -> dict[str, Handler]:
-        """Return the gRPC methods by path, for the server of grpclib."""
-        handler = Handler(
-            self._serve, Cardinality.STREAM_STREAM, EntryBatch, AgentBatch
-        )
-        return {RUNS_PATH: handler}
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen for connections of entries."""
-        self._server = Server([self], codec=MsgpackCodec())
-        await self._server.start(host, port)
+    async def start(self, host: str, port: int) -> int:
+        """Listen for connections of entries; return the port."""
+        return await self._server.start(host, port)
 
     async def stop(self) -> None:
         """Close all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._server.close()
 
     def send(self, link: int, message: AgentMessage) -> None:
         """Send a message; it is dropped if the connection has ended."""
@@ -120,35 +105,46 @@
         if outbox is not None:
             outbox.put(message)
 
-    async def _serve(self, stream: Stream[EntryBatch, AgentBatch]) -> None:
-        """Serve the connection of one entry until it ends."""
+    def _accept(self, connection: FrameConnection) -> _AcceptedLink:
         link = next(self._link_numbers)
-        outbox: _Outbox[AgentMessage, AgentBatch] = _Outbox(AgentBatch)
-        self._outboxes[link] = outbox
-        writer = asyncio.create_task(outbox.queue.write_to(stream))
-        try:
-            async for batch in stream:
-                self._handle_batch(link, batch.messages)
-        except _CONNECTION_ERRORS as exc:
-            LOGGER.info("link-lost", extra={"link": link, "error": repr(exc)})
-        finally:
-            writer.cancel()
-            with contextlib.suppress(
-                asyncio.CancelledError, *_CONNECTION_ERRORS
-            ):
-                await writer
-            del self._outboxes[link]
-            self._on_closed(link)
-
-    def _handle_batch(
-        self, link: int, messages: Sequence[EntryMessage]
-    ) -> None:
+        self._outboxes[link] = _Outbox(connection, AgentBatch)
+        return _AcceptedLink(self, link)
+
+    def handle_batch(self, link: int, batch: EntryBatch) -> None:
         """Pass the messages of a batch on; ``Attach`` can only be first."""
+        messages: Sequence[EntryMessage] = batch.messages
         if messages and isinstance(messages[0], Attach):
             self._on_attach(link, messages[0])
             messages = messages[1:]
         self._on_messages(link, messages)
 
+    def remove(self, link: int) -> None:
+        """Forget a connection that has ended."""
+        self._outboxes.pop(link, None)
+        self._on_closed(link)
+
+
+class _AcceptedLink:
+    """The connection of one entry, at an agent."""
+
+    __slots__ = ("_link", "_links")
+
+    def __init__(self, links: AgentLinks, link: int) -> None:
+        self._links = links
+        self._link = link
+
+    def frame_received(self, data: bytes) -> None:
+        """Pass a batch on."""
+        self._links.handle_batch(self._link, decode(data, EntryBatch))
+
+    def connection_closed(self, exc: Exception | None) -> None:
+        """Forget the link."""
+        if exc is not None:
+            LOGGER.info(
+                "link-lost", extra={"link": self._link, "error": repr(exc)}
+            )
+        self._links.remove(self._link)
+
 
 class EntryLinks:
     """Opens and holds the connections to agents, at an entry.
@@ -170,8 +166,9 @@
         self._on_messages = on_messages
         self._on_closed = on_closed
         self._link_numbers = itertools.count(1)
-        self._outboxes: dict[int, _Outbox[EntryMessage, EntryBatch]] = {}
-        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._outboxes: dict[int, _Outbox[EntryMessage]] = {}
+        self._connections: dict[int, FrameConnection] = {}
+        self._dials: set[asyncio.Task[None]] = set()
 
     def dial(self, agent: str, address: str) -> None:
         """Begin to open a connection to an agent.
@@ -179,10 +176,9 @@
         :param agent: name of the agent, passed to the callbacks.
         :param address: host and port of the agent.
         """
-        link = next(self._link_numbers)
-        task = asyncio.create_task(self._run_connection(agent, address, link))
-        self._tasks[link] = task
-        task.add_done_callback(lambda _: self._tasks.pop(link, None))
+        task = asyncio.create_task(self._open(agent, address))
+        self._dials.add(task)
+        task.add_done_callback(self._dials.discard)
 
     def send(self, link: int, message: EntryMessage) -> None:
         """Send a message; it is dropped if the connection has ended."""
@@ -192,54 +188,85 @@
 
     def drop(self, link: int) -> None:
         """Close one connection."""
-        task = self._tasks.get(link)
-        if task is not None:
-            task.cancel()
+        connection = self._connections.get(link)
+        if connection is not None:
+            connection.abort()
 
     async def stop(self) -> None:
         """Close all connections."""
-        tasks = list(self._tasks.values())
-        for task in tasks:
+        dials = list(self._dials)
+        for task in dials:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*dials, return_exceptions=True)
+        for connection in list(self._connections.values()):
+            connection.close()
+
+    async def _open(self, agent: str, address: str) -> None:
+        """Open a connection; its handler serves it from then on."""
+        link = next(self._link_numbers)
+        handler = _DialedLink(self, agent, link)
+
+        def make_handler(connection: FrameConnection) -> _DialedLink:
+            self._connections[link] = connection
+            self._outboxes[link] = _Outbox(connection, EntryBatch)
+            return handler
 
-    async def _run_connection(
-        self, agent: str, address: str, link: int
-    ) -> None:
-        """Open a connection and serve it until it ends."""
-        host, port = split_address(address)
-        channel = Channel(host, port, codec=MsgpackCodec())
-        opened = False
         try:
-            method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
-                channel, RUNS_PATH, EntryBatch, AgentBatch
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                await dial(address, RUNS_SERVICE, make_handler)
+        except CONNECTION_ERRORS as exc:
+            LOGGER.info(
+                "link-lost", extra={"agent": agent, "error": repr(exc)}
             )
-            async with method.open() as stream:
-                async with asyncio.timeout(DIAL_TIMEOUT_S):
-                    await stream.send_request()
-                opened = True
-                await self._exchange(agent, link, stream)
-        except _CONNECTION_ERRORS as exc:
+            self.drop(link)
+            self.forget(link)
+        if link in self._connections:
+            handler.is_open = True
+            self._on_open(agent, link)
+        else:
+            self._on_closed(agent, None)
+
+    def handle_batch(self, link: int, batch: AgentBatch) -> None:
+        """Pass the messages of a batch on."""
+        self._on_messages(link, batch.messages)
+
+    def remove(self, agent: str, link: int, exc: Exception | None) -> None:
+        """Forget an open connection that has ended."""
+        if exc is not None:
             LOGGER.info(
                 "link-lost", extra={"agent": agent, "error": repr(exc)}
             )
-        finally:
-            self._outboxes.pop(link, None)
-            channel.close()
-            self._on_closed(agent, link if opened else None)
-
-    async def _exchange(self, agent: str, link: int, stream: Any) -> None:
-        """Send and receive batches on an open stream until it ends."""
-        outbox: _Outbox[EntryMessage, EntryBatch] = _Outbox(EntryBatch)
-        self._outboxes[link] = outbox
-        writer = asyncio.create_task(outbox.queue.write_to(stream))
-        self._on_open(agent, link)
-        try:
-            async for batch in stream:
-                self._on_messages(link, batch.messages)
-        finally:
-            writer.cancel()
-            with contextlib.suppress(
-                asyncio.CancelledError, *_CONNECTION_ERRORS
-            ):
-                await writer
+        self.forget(link)
+        self._on_closed(agent, link)
+
+    def forget(self, link: int) -> None:
+        """Drop what is kept of a connection."""
+        self._connections.pop(link, None)
+        self._outboxes.pop(link, None)
+
+
+class _DialedLink:
+    """The connection to one agent, at an entry.
+
+    ``is_open`` is set once the dial has succeeded; the end of a connection
+    before that is reported as a failed dial.
+    """
+
+    __slots__ = ("_agent", "_link", "_links", "is_open")
+
+    def __init__(self, links: EntryLinks, agent: str, link: int) -> None:
+        self._links = links
+        self._agent = agent
+        self._link = link
+        self.is_open = False
+
+    def frame_received(self, data: bytes) -> None:
+        """Pass a batch on."""
+        self._links.handle_batch(self._link, decode(data, AgentBatch))
+
+    def connection_closed(self, exc: Exception | None) -> None:
+        """Forget the link."""
+        if self.is_open:
+            self._links.remove(self._agent, self._link, exc)
+        else:
+            self._links.forget(self._link)
--- /dev/null
+++ b/packages/briarford-daemon/src/briarford_daemon/frames.py
@@ -0,0 +1,271 @@
+"""Connections between processes that carry length-prefixed frames.
+
+A frame is its length, four bytes in network order, and that many bytes. The
+first frame of a connection names the service that the dialing side wants; the
+others are messages of that service. A connection that exceeds a limit is
+aborted rather than slowed down: heartbeats on it would be late, and a new one
+resumes the session.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+from collections.abc import Callable, Mapping
+from typing import Protocol, TypeVar, cast
+
+import msgspec
+
+from briarford_daemon.settings import split_address
+
+__all__ = [
+    "CONNECTION_ERRORS",
+    "MAX_FRAME_BYTES",
+    "MAX_UNSENT_BYTES",
+    "FrameConnection",
+    "FrameHandler",
+    "FrameServer",
+    "MakeHandler",
+    "dial",
+]
+
+LOGGER = logging.getLogger("briarford.frames")
+
+# Larger than any batch: jobs are limited to a few megabytes by their servers.
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+# A peer that has left this much unread is slower than its heartbeats allow.
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+# The first frame is sent with the handshake of the connection.
+HELLO_TIMEOUT_S = 5.0
+BACKLOG = 512
+
+CONNECTION_ERRORS = (OSError, TimeoutError, msgspec.MsgspecError)
+
+_LENGTH = struct.Struct("!I")
+
+
+class FrameHandler(Protocol):
+    """Handles the frames of one connection."""
+
+    def frame_received(self, data: bytes) -> None:
+        """Handle one frame; an error in its encoding aborts the connection.
+
+        :raises msgspec.MsgspecError: if it cannot be decoded.
+        """
+
+    def connection_closed(self, exc: Exception | None) -> None:
+        """Handle the end of the connection.
+
+        :param exc: why it was lost; None if a side has closed it.
+        """
+
+
+MakeHandler = Callable[["FrameConnection"], FrameHandler]
+
+H = TypeVar("H", bound=FrameHandler)
+
+
+class FrameConnection(asyncio.Protocol):
+    """One side of a connection.
+
+    :param make_handler: called with the connection once its service is
+        known; None at the accepting side, where ``services`` has it by name.
+    :param service: name of the service, at the dialing side.
+    :param services: handlers by name of the service, at the accepting side.
+    """
+
+    def __init__(
+        self,
+        make_handler: MakeHandler | None = None,
+        service: str = "",
+        services: Mapping[str, MakeHandler] | None = None,
+    ) -> None:
+        self._make_handler = make_handler
+        self._service = service
+        self._services = services or {}
+        self._handler: FrameHandler | None = None
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._cause: Exception | None = None
+        self._hello_timer: asyncio.TimerHandle | None = None
+        self.peer = ""
+
+    def send(self, data: bytes) -> None:
+        """Send one frame; it is dropped if the connection has ended.
+
+        The connection is aborted if the peer has left too much unread.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(_LENGTH.pack(len(data)) + data)
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._abort("the peer does not read")
+
+    def close(self) -> None:
+        """Close the connection once what was sent has left."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # -- callbacks of asyncio -------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send or await the name of the service."""
+        self._transport = cast(asyncio.Transport, transport)
+        host, port = transport.get_extra_info("peername")[:2]
+        self.peer = f"{host}:{port}"
+        if self._make_handler is not None:
+            self.send(self._service.encode())
+            self._handler = self._make_handler(self)
+            return
+        loop = asyncio.get_running_loop()
+        self._hello_timer = loop.call_later(
+            HELLO_TIMEOUT_S, self._abort, "no service was named in time"
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on the frames that are complete."""
+        received = self._received
+        received += data
+        at = 0
+        size = len(received)
+        try:
+            while size - at >= _LENGTH.size:
+                (length,) = _LENGTH.unpack_from(received, at)
+                if length > MAX_FRAME_BYTES:
+                    self._abort(f"a frame of {length} bytes is too long")
+                    return
+                end = at + _LENGTH.size + length
+                if end > size:
+                    break
+                frame = bytes(received[at + _LENGTH.size : end])
+                at = end
+                self._handle(frame)
+                if self._cause is not None:
+                    return
+        except msgspec.MsgspecError as exc:
+            self._cause = exc
+            self.abort()
+            return
+        del received[:at]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection."""
+        self._transport = None
+        self._stop_hello_timer()
+        cause = self._cause or exc
+        if self._handler is not None:
+            self._handler.connection_closed(cause)
+        elif cause is not None:
+            LOGGER.info(
+                "connection-refused",
+                extra={"peer": self.peer, "error": repr(cause)},
+            )
+
+    def _handle(self, frame: bytes) -> None:
+        if self._handler is not None:
+            self._handler.frame_received(frame)
+            return
+        self._stop_hello_timer()
+        name = frame[:100].decode("latin-1")
+        make_handler = self._services.get(name)
+        if make_handler is None:
+            self._abort(f"no service is named '{name}'")
+            return
+        self._handler = make_handler(self)
+
+    def _abort(self, reason: str) -> None:
+        self._cause = ConnectionAbortedError(reason)
+        self.abort()
+
+    def _stop_hello_timer(self) -> None:
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
+            self._hello_timer = None
+
+
+class FrameServer:
+    """Accepts connections for one or several services.
+
+    :param services: makes the handler of a connection, by the name of the
+        service that the dialing side wants.
+    """
+
+    def __init__(self, services: Mapping[str, MakeHandler]) -> None:
+        self._services = services
+        self._server: asyncio.Server | None = None
+        self._connections: set[FrameConnection] = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen for connections.
+
+        :param port: port to listen on; 0 for any free one.
+        :return: the port.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection, host, port, backlog=BACKLOG
+        )
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def _make_connection(self) -> FrameConnection:
+        return _AcceptedConnection(self._services, self._connections)
+
+
+class _AcceptedConnection(FrameConnection):
+    """A connection that is in the server's set while it is open."""
+
+    def __init__(
+        self,
+        services: Mapping[str, MakeHandler],
+        connections: set[FrameConnection],
+    ) -> None:
+        super().__init__(services=services)
+        self._connections = connections
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._connections.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._connections.discard(self)
+        super().connection_lost(exc)
+
+
+async def dial(
+    address: str, service: str, make_handler: Callable[[FrameConnection], H]
+) -> H:
+    """Open a connection; the caller limits the time.
+
+    :param address: host and port of the peer.
+    :param service: name of the service that is wanted.
+    :param make_handler: makes the handler of the connection.
+    :return: the handler.
+    :raises OSError: if no connection could be opened.
+    """
+    host, port = split_address(address)
+    handlers: list[H] = []
+
+    def keep_handler(connection: FrameConnection) -> H:
+        handlers.append(make_handler(connection))
+        return handlers[0]
+
+    loop = asyncio.get_running_loop()
+    await loop.create_connection(
+        lambda: FrameConnection(keep_handler, service), host, port
+    )
+    return handlers[0]
--- a/packages/briarford-daemon/src/briarford_daemon/peers.py
+++ b/packages/briarford-daemon/src/briarford_daemon/peers.py
@@ -1,4 +1,4 @@
-"""The gRPC service between entries, and the links of one entry to others.
+"""The service between entries, and the links of one entry to others.
 
 Entries forward a request to the home of its job (the one entry that may start
 its tasks), exchange their newest view and preset record, and transfer ended
@@ -8,14 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any, Protocol, TypeVar
 
 import msgspec
-from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.const import Cardinality, Handler
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Stream
 
 from briarford.dispatch.messages import Decision
 from briarford.exceptions import BriarfordError
@@ -50,12 +46,18 @@
     Refused,
     Step,
 )
+from briarford_daemon.calls import (
+    CallChannel,
+    CallMethod,
+    CallRejectedError,
+    serve_calls,
+)
 from briarford_daemon.clock import Clock
+from briarford_daemon.frames import MakeHandler
 from briarford_daemon.logs import log_decision
-from briarford_daemon.settings import split_address
-from briarford_daemon.wire import MsgpackCodec
 
 __all__ = [
+    "PEERS_SERVICE",
     "JobHost",
     "PeerLink",
     "PeerService",
@@ -63,9 +65,10 @@
     "Peers",
 ]
 
-FORWARD_PATH = "/briarford.Peers/Forward"
-EXCHANGE_PATH = "/briarford.Peers/Exchange"
-TRANSFER_PATH = "/briarford.Peers/HandOver"
+PEERS_SERVICE = "briarford.peers/1"
+FORWARD = "forward"
+EXCHANGE = "exchange"
+TRANSFER = "transfer"
 
 # During a call, a connection on which nothing arrived for PROBE_AFTER_S is
 # probed; it is replaced if there is no answer within PROBE_TIMEOUT_S.
@@ -78,8 +81,8 @@
 MAX_HOPS = 2
 MAX_CONNECTIONS_PER_CALL = 10
 
-_CALL_ERRORS = (GRPCError, msgspec.MsgspecError)
-_CONNECTION_ERRORS = (OSError, StreamTerminatedError, TimeoutError)
+_CALL_ERRORS = (CallRejectedError, msgspec.MsgspecError)
+_CONNECTION_ERRORS = (OSError, TimeoutError)
 
 Rep = TypeVar("Rep")
 
@@ -124,8 +127,7 @@
         self._address = address
         self._exchanger = exchanger
         self._clock = clock
-        host, port = split_address(address)
-        self._channel = Channel(host, port, codec=MsgpackCodec())
+        self._channel = CallChannel(address, PEERS_SERVICE)
         self._last_received_at = 0.0
         self._open_calls = 0
         self._probe_task: asyncio.Task[None] | None = None
@@ -149,47 +151,34 @@
         :raises TimeoutError: if there is no reply in ``PROBE_TIMEOUT_S``.
         """
         asked_at = self._clock.now()
-        method: UnaryUnaryMethod[ExchangeRequest, ExchangeReply] = (
-            UnaryUnaryMethod(
-                self._channel, EXCHANGE_PATH, ExchangeRequest, ExchangeReply
-            )
-        )
         req = self._exchanger.make_request(self._address, asked_at)
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            reply = await method(req)
+            reply = await self._channel.call(EXCHANGE, req, ExchangeReply)
         self._last_received_at = self._clock.now()
-        if reply is not None:
-            self._exchanger.receive_reply(
-                reply, asked_at, self._last_received_at
-            )
+        self._exchanger.receive_reply(reply, asked_at, self._last_received_at)
 
-    async def call(self, path: str, req: Any, kind: type[Rep]) -> Rep:
+    async def call(self, method: str, req: Any, kind: type[Rep]) -> Rep:
         """Call the peer and wait for its reply while the connection works.
 
-        :param path: path of the gRPC method.
+        :param method: name of the method.
         :param kind: type of the reply.
-        :raises StreamTerminatedError: if the connection does not answer a
+        :raises OSError: if the connection does not answer a
             probe, or ends without a reply.
         """
-        method: UnaryUnaryMethod[Any, Rep] = UnaryUnaryMethod(
-            self._channel, path, type(req), kind
-        )
         self._open_calls += 1
         self._start_probing()
-        call = asyncio.ensure_future(method(req))
+        call = asyncio.ensure_future(self._channel.call(method, req, kind))
         broken = asyncio.ensure_future(self._broken.wait())
         try:
             await asyncio.wait(
                 (call, broken), return_when=asyncio.FIRST_COMPLETED
             )
             if not call.done():
-                raise StreamTerminatedError("the connection is silent")
+                raise ConnectionAbortedError("the connection is silent")
             reply = call.result()
         finally:
             self._open_calls -= 1
             await _cancel_and_wait(call, broken)
-        if reply is None:
-            raise StreamTerminatedError("the peer gave no answer")
         self._last_received_at = self._clock.now()
         return reply
 
@@ -241,7 +230,7 @@
             self._drop(self._conn)
 
     async def call(
-        self, path: str, req: Any, kind: type[Rep], step: Step
+        self, method: str, req: Any, kind: type[Rep], step: Step
     ) -> Rep:
         """Call the peer; repeat the call if its connection is lost.
 
@@ -249,7 +238,7 @@
         the call is repeated on a new one. All methods may be repeated: a job
         that already runs is joined.
 
-        :param path: path of the gRPC method.
+        :param method: name of the method.
         :param kind: type of the reply.
         :param step: step that the error names.
         :raises PeerUnreachableError: if the peer answers with an error or an
@@ -259,7 +248,7 @@
         for _ in range(MAX_CONNECTIONS_PER_CALL):
             conn = self._connect()
             try:
-                return await conn.call(path, req, kind)
+                return await conn.call(method, req, kind)
             except _CALL_ERRORS as exc:
                 raise self._unreachable(step, str(exc)) from exc
             except _CONNECTION_ERRORS as exc:
@@ -360,7 +349,7 @@
         """
         return await self._handle(ForwardRequest(ForwardKind.CANCEL, job_id))
 
-    # Requests of other entries, over gRPC.
+    # Requests of other entries.
 
     async def serve_forward(self, req: ForwardRequest) -> ForwardReply:
         """Answer a request that another entry has forwarded."""
@@ -419,7 +408,7 @@
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                 for batch in split_into_batches(home, incarnation, jobs):
                     reply = await self.link(successor.address).call(
-                        TRANSFER_PATH, batch, TransferReply, Step.FORWARD
+                        TRANSFER, batch, TransferReply, Step.FORWARD
                     )
                     complete = reply.complete
         except (PeerUnreachableError, TimeoutError):
@@ -480,7 +469,7 @@
         )
         try:
             reply = await self.link(entry.address).call(
-                FORWARD_PATH, forwarded, ForwardReply, Step.FORWARD
+                FORWARD, forwarded, ForwardReply, Step.FORWARD
             )
         except PeerUnreachableError as exc:
             return self._home_unreachable(entry, exc.message)
@@ -510,57 +499,35 @@
 
 
 class PeerService:
-    """The gRPC service that an entry offers to other entries.
+    """The service that an entry offers to other entries.
 
     :param peers: answers the calls.
+
+    ``observe``, if set, is called with each exchange and its reply.
     """
 
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
-
-    def __mapping__(self) -> dict[str, Handler]:
-        """Return the methods by path; grpclib calls this to register them."""
-        return {
-            FORWARD_PATH: Handler(
-                self._forward,
-                Cardinality.UNARY_UNARY,
-                ForwardRequest,
-                ForwardReply,
-            ),
-            EXCHANGE_PATH: Handler(
-                self._exchange,
-                Cardinality.UNARY_UNARY,
-                ExchangeRequest,
-                ExchangeReply,
-            ),
-            TRANSFER_PATH: Handler(
-                self._transfer,
-                Cardinality.UNARY_UNARY,
-                TransferBatch,
-                TransferReply,
-            ),
+        self.observe: Callable[[object], None] | None = None
+
+    def handler(self) -> MakeHandler:
+        """Return what makes the handlers of connections."""
+        methods = {
+            FORWARD: CallMethod(ForwardRequest, self._peers.serve_forward),
+            EXCHANGE: CallMethod(ExchangeRequest, self._exchange),
+            TRANSFER: CallMethod(TransferBatch, self._transfer),
         }
+        return serve_calls(methods)
 
-    async def _forward(
-        self, stream: Stream[ForwardRequest, ForwardReply]
-    ) -> None:
-        req = await stream.recv_message()
-        if req is not None:
-            await stream.send_message(await self._peers.serve_forward(req))
-
-    async def _exchange(
-        self, stream: Stream[ExchangeRequest, ExchangeReply]
-    ) -> None:
-        req = await stream.recv_message()
-        if req is not None:
-            await stream.send_message(self._peers.serve_exchange(req))
+    async def _exchange(self, req: ExchangeRequest) -> ExchangeReply:
+        reply = self._peers.serve_exchange(req)
+        if self.observe is not None:
+            self.observe(req)
+            self.observe(reply)
+        return reply
 
-    async def _transfer(
-        self, stream: Stream[TransferBatch, TransferReply]
-    ) -> None:
-        batch = await stream.recv_message()
-        if batch is not None:
-            await stream.send_message(self._peers.serve_transfer(batch))
+    async def _transfer(self, batch: TransferBatch) -> TransferReply:
+        return self._peers.serve_transfer(batch)
 
 
 async def _cancel_and_wait(*futs: asyncio.Future[Any]) -> None:
--- a/packages/briarford-daemon/tests/test_peers.py
+++ b/packages/briarford-daemon/tests/test_peers.py
@@ -11,7 +11,6 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from grpclib.server import Server
 
 from briarford.homes import (
     IdAllocator,
@@ -36,8 +35,8 @@
 )
 from briarford_daemon import peers as peers_module
 from briarford_daemon.clock import Clock
-from briarford_daemon.peers import Peers, PeerService
-from briarford_daemon.wire import MsgpackCodec
+from briarford_daemon.frames import FrameServer
+from briarford_daemon.peers import PEERS_SERVICE, Peers, PeerService
 
 FAR = 1e12
 HANG_LIMIT_S = 20.0
@@ -147,7 +146,9 @@
     servers = []
     for entry, port in ((home, ports[2]), (other, ports[1])):
         entry.holder.adopt(record)
-        server = Server([PeerService(entry.peers)], codec=MsgpackCodec())
+        server = FrameServer(
+            {PEERS_SERVICE: PeerService(entry.peers).handler()}
+        )
         await server.start("127.0.0.1", port)
         servers.append(server)
     proxy = SilentProxy(ports[2])
@@ -163,7 +164,6 @@
             writer.close()
         for server in servers:
             server.close()
-            await server.wait_closed()
 
 
 def make_spec(job_id, payload=b"{}"):
--- a/packages/briarford-daemon/tests/test_registration.py
+++ b/packages/briarford-daemon/tests/test_registration.py
@@ -10,7 +10,6 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from grpclib.server import Server
 
 from briarford.exceptions import StoreError
 from briarford.homes import (
@@ -30,9 +29,9 @@
 from briarford.store import KeyListing, KeyValue
 from briarford_daemon import registration
 from briarford_daemon.clock import Clock
-from briarford_daemon.peers import Peers, PeerService
+from briarford_daemon.frames import FrameServer
+from briarford_daemon.peers import PEERS_SERVICE, Peers, PeerService
 from briarford_daemon.registration import Membership
-from briarford_daemon.wire import MsgpackCodec
 
 HANG_LIMIT_S = 30.0
 FAR = 1e12
@@ -161,7 +160,9 @@
     entries = [Entry(name, store) for name in names]
     servers = []
     for entry in entries:
-        server = Server([PeerService(entry.peers)], codec=MsgpackCodec())
+        server = FrameServer(
+            {PEERS_SERVICE: PeerService(entry.peers).handler()}
+        )
         await server.start("127.0.0.1", entry.port)
         servers.append(server)
         entry.membership.start()
@@ -172,7 +173,6 @@
             await entry.membership.close()
             entry.peers.close()
             server.close()
-            await server.wait_closed()
 
 
 @pytest.fixture(autouse=True)
