Poll less: run listings, statuses and the records of agents

Two requests for the run listing waited at each worker and both were answered at each end; statuses went out up to 100 times a second at times of their own; each entry read all 160 records of agents twice a second.

Change: one waiting request, and a second one only when an answer is late; statuses at common times, with the heartbeats, 50 a second at most; records are followed by their changes and listed again every 5 s.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -45,13 +45,16 @@
 EVENTS = logging.getLogger("briarford.decision")
 
 # The worker sends a requested run listing when a run ends, or after this time.
-# Each request renews the lease, so each loop of requests renews a lease of one
-# second five times.
+# Each request renews the lease of one second, so it is renewed five times.
 LISTING_WAIT_S = 0.2
 LISTING_RETRY_DELAY_S = 0.05
-# Two calls are always open at the worker: if the answer to one is lost, the
-# other still reports an ended run without delay.
-CONCURRENT_LISTINGS = 2
+# If an answer is this late, it was lost or the worker does not answer. A
+# second request, which does not wait, tells which. A worker that has not
+# answered for ``UNRESPONSIVE_AFTER_S`` gets no runs.
+HEDGE_AFTER_S = LISTING_WAIT_S + 0.03
+# Runs of one job end within milliseconds; the next request waits for them,
+# so that one answer reports them all.
+END_BATCH_S = 0.004
 WITHDRAW_RETRY_DELAY_S = 0.1
 DRAIN_POLL_PERIOD_S = 0.05
 MS_PER_S = 1000
@@ -136,6 +139,8 @@
         metrics.set_sources(self.core.counts, self._state)
         self._fencing_token = 0
         self._fenced = False
+        self._polled_at = 0.0
+        self._listed_at = 0.0
         self._links = AgentLinks(
             self._on_attach, self._on_messages, self._on_link_closed
         )
@@ -156,9 +161,8 @@
         self._driver = TurnDriver(self.core, self._clock, self._perform)
         await self._links.start(self._cfg.ip, self._cfg.rpc_port)
         self._tasks.spawn(self._registration.run())
-        for number in range(CONCURRENT_LISTINGS):
-            offset_s = number * LISTING_WAIT_S / CONCURRENT_LISTINGS
-            self._tasks.spawn(self._poll_run_listings(offset_s))
+        self._tasks.spawn(self._poll_run_listings())
+        self._tasks.spawn(self._hedge_run_listings())
         self._driver.wake()
 
     def apply_settings(self, cfg: FleetSettings) -> None:
@@ -312,20 +316,37 @@
                 return
             await asyncio.sleep(WITHDRAW_RETRY_DELAY_S)
 
-    async def _poll_run_listings(self, offset_s: float) -> None:
+    async def _poll_run_listings(self) -> None:
         """Read the run listing in a loop, which also renews the lease.
 
         Waits for a heartbeat or the stored record while the worker or the
         fencing token is unknown.
-
-        :param offset_s: seconds to wait at first, so that the loops do not
-            call at the same time.
         """
-        await asyncio.sleep(offset_s)
         while True:
             if self.core.worker is None or not self.core.has_token:
                 await self._wait_for_report()
-            elif not await self._list_runs(LISTING_WAIT_S):
+                continue
+            self._polled_at = self._clock.now()
+            listing = await self._list_runs(LISTING_WAIT_S)
+            if listing is None:
+                await asyncio.sleep(LISTING_RETRY_DELAY_S)
+            elif listing.ended:
+                await asyncio.sleep(END_BATCH_S)
+
+    async def _hedge_run_listings(self) -> None:
+        """Request the run listing again when an answer is late.
+
+        Otherwise an ended run would be unknown until the lost answer's call
+        has timed out.
+        """
+        while True:
+            now = self._clock.now()
+            late_at = max(self._polled_at, self._listed_at) + HEDGE_AFTER_S
+            if now < late_at:
+                await asyncio.sleep(late_at - now)
+            elif self.core.worker is None or not self.core.has_token:
+                await asyncio.sleep(HEDGE_AFTER_S)
+            elif await self._list_runs(0.0) is None:
                 await asyncio.sleep(LISTING_RETRY_DELAY_S)
 
     async def _wait_for_report(self) -> None:
@@ -338,16 +359,16 @@
             async with asyncio.timeout(LISTING_WAIT_S):
                 await self._report_received.wait()
 
-    async def _list_runs(self, wait_s: float) -> bool:
+    async def _list_runs(self, wait_s: float) -> RunListing | None:
         """Read the run listing of the worker once and pass it to the core.
 
         :param wait_s: seconds that the worker may wait for a run to end; 0
             is used until all its runs are known to be of this agent.
-        :return: whether the worker has sent the run listing.
+        :return: the listing; None if the worker has not sent it.
         """
         worker = self.core.worker
         if worker is None:
-            return False
+            return None
         requested_at = self._clock.now()
         lease_s = self.core.lease_s(requested_at)
         if lease_s:
@@ -363,7 +384,8 @@
             self.core.worker_refused(self._clock.now())
             self._wake()
         if isinstance(listing, ListingFailure):
-            return False
-        self.core.listing_received(listing, requested_at, self._clock.now())
+            return None
+        self._listed_at = self._clock.now()
+        self.core.listing_received(listing, requested_at, self._listed_at)
         self._wake()
-        return True
+        return listing
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -25,7 +25,7 @@
 from briarford.requests.effects import EntryEffect
 from briarford.routes import Configuration, ConfigurationHolder, Route
 from briarford.runs import AgentAddress, AgentMessage
-from briarford.store import Store
+from briarford.store import ChangeStore, Store
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.driver import TurnDriver
 from briarford_daemon.fleet.links import EntryLinks
@@ -68,7 +68,7 @@
     def __init__(
         self,
         cfg: FleetSettings,
-        store: Store,
+        store: ChangeStore,
         read_configuration: ReadConfiguration,
         metrics: FleetMetrics,
     ) -> None:
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from briarford.exceptions import StoreError
 from briarford.runs import AgentAddress, WorkerReport
-from briarford.store import KeyListing, Store
+from briarford.store import ChangeStore, KeyValue, Store
 from briarford_daemon.fleet.clock import BootClock
 
 __all__ = [
@@ -33,12 +33,18 @@
 RETRY_DELAY_S = 0.3
 # A call takes 4 ms, and 50 times as long while the service is slow.
 CALL_TIMEOUT_S = 0.8
-# When all processes start together, agents register within the first seconds;
-# an entry polls more often during this time.
-STARTUP_S = 3.0
-STARTUP_POLL_PERIOD_S = 0.1
-# Entries need new agents and a new configuration within two seconds.
+# Entries need a new configuration within two seconds.
 POLL_PERIOD_S = 0.5
+# The service answers at the first change, at the latest after this time. It
+# may have dropped changes without notice, so all records are listed again
+# periodically; an agent that moved must be found before its runs are given up.
+WATCH_WAIT_S = 1.0
+RELIST_PERIOD_S = 5.0
+# Pause between two reads, in which changes collect. When all processes start
+# together, agents register within the first seconds.
+READ_GAP_S = 0.3
+STARTUP_S = 3.0
+STARTUP_READ_GAP_S = 0.05
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
@@ -168,17 +174,21 @@
 
 
 class AgentDirectory:
-    """Polls the records of the registered agents, at an entry.
+    """Follows the records of the registered agents, at an entry.
+
+    The records are listed once and then followed by their changes: all
+    records of a large fleet, read twice a second by each entry, would fill
+    the link of a small VM.
 
     :param store: client of the key-value service.
     :param clock: clock of the process.
-    :param on_listed: called after each read with the address and service of
+    :param on_listed: called after each change with the address and service of
         each agent, by name.
     """
 
     def __init__(
         self,
-        store: Store,
+        store: ChangeStore,
         clock: BootClock,
         on_listed: Callable[[dict[str, AgentAddress]], None],
     ) -> None:
@@ -186,27 +196,56 @@
         self._clock = clock
         self._on_listed = on_listed
         self._started_at = clock.now()
+        self._agents: dict[str, AgentAddress] = {}
+        self._revision = 0
+        self._list_at = 0.0
 
     async def run(self) -> None:
-        """Poll until cancelled; a failed read is only logged."""
+        """Follow the records until cancelled; a failed read is only logged."""
         while True:
-            deadline = self._clock.now() + CALL_TIMEOUT_S
             try:
-                listing = await self._store.list(AGENTS_PREFIX, deadline)
+                await self._read()
             except StoreError as exc:
                 LOGGER.debug("agents-not-read", extra={"error": exc.message})
+                self._list_at = 0.0
+                await asyncio.sleep(POLL_PERIOD_S)
             else:
-                self._on_listed(_decode_addresses(listing))
-            starting = self._clock.now() < self._started_at + STARTUP_S
-            await asyncio.sleep(
-                STARTUP_POLL_PERIOD_S if starting else POLL_PERIOD_S
+                starting = self._clock.now() < self._started_at + STARTUP_S
+                await asyncio.sleep(
+                    STARTUP_READ_GAP_S if starting else READ_GAP_S
+                )
+
+    async def _read(self) -> None:
+        """List all records if that is due, else wait for changes."""
+        now = self._clock.now()
+        if now >= self._list_at:
+            listing = await self._store.list(
+                AGENTS_PREFIX, now + CALL_TIMEOUT_S
             )
+            self._list_at = now + RELIST_PERIOD_S
+            self._revision = listing.revision
+            self._agents = _decode_addresses(listing.items)
+            self._on_listed(self._agents)
+            return
+        changes = await self._store.changes(
+            AGENTS_PREFIX, self._revision, now + WATCH_WAIT_S
+        )
+        if changes is None:
+            self._list_at = 0.0
+            return
+        self._revision = changes.revision
+        if not changes.written and not changes.deleted:
+            return
+        for key in changes.deleted:
+            self._agents.pop(key.removeprefix(AGENTS_PREFIX), None)
+        self._agents.update(_decode_addresses(changes.written))
+        self._on_listed(self._agents)
 
 
-def _decode_addresses(listing: KeyListing) -> dict[str, AgentAddress]:
+def _decode_addresses(items: Iterable[KeyValue]) -> dict[str, AgentAddress]:
     """Return agents by name; records that cannot be decoded are left out."""
     addresses = {}
-    for item in listing.items:
+    for item in items:
         try:
             record = msgspec.json.decode(item.value, type=AgentRecord)
         except msgspec.DecodeError as exc:
--- a/packages/briarford-daemon/src/briarford_daemon/logs.py
+++ b/packages/briarford-daemon/src/briarford_daemon/logs.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from briarford_daemon.log_lines import LineRateLimiter, PipeHandler
 
@@ -44,7 +44,7 @@
 
 def _set_up(handler: logging.Handler, level: str, process: str) -> None:
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             "{created}{levelname}{name}{message}",
             style="{",
             rename_fields={"created": "time", "levelname": "level"},
--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -4,6 +4,12 @@
 full load fast workers are scarce: a task that ends in time on a slow worker
 is placed there, and one that does not waits for a fast worker for as long as
 it can still end in time on one.
+
+A job ends with its last task, so it is as late as the slowest of its workers
+and loses time with each worker that fails. Among workers of the same speed
+those come first that run tasks of the same job already: a job of eight tasks
+then depends on one or two workers in place of eight, and its payload is sent
+to these only.
 """
 
 from __future__ import annotations
@@ -68,7 +74,8 @@
     one fits.
     Among workers that end the task in time, the fastest one is chosen below
     ``BUSY_UTILISATION``, and from there on the slowest one that ends it with
-    some time to spare.
+    some time to spare. Of several such, the one with tasks of the same job
+    is chosen, then the one with the most free capacity.
 
     :param task: the task to place.
     :param views: the agents of the service.
@@ -87,10 +94,15 @@
     in_time = [v for v in fitting if _run_s(task, v) <= left_s]
     if not in_time:
         return _choose_for_late_task(task, fitting, views, now)
+    used_by_job = {t.agent for t in task.job.tasks}
     if held_share < BUSY_UTILISATION:
         return min(
             in_time,
-            key=lambda v: (_rounded_slowness(v, spec), -v.free_cpu(now)),
+            key=lambda v: (
+                _rounded_slowness(v, spec),
+                v.name not in used_by_job,
+                -v.free_cpu(now),
+            ),
         )
     safely_in_time = [
         v
@@ -100,7 +112,11 @@
     if safely_in_time:
         return max(
             safely_in_time,
-            key=lambda v: (_rounded_slowness(v, spec), v.free_cpu(now)),
+            key=lambda v: (
+                _rounded_slowness(v, spec),
+                v.name in used_by_job,
+                v.free_cpu(now),
+            ),
         )
     return min(in_time, key=lambda v: _run_s(task, v))
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -178,6 +178,7 @@
         self._lease_end = 0.0
         self._next_heartbeat = 0.0
         self._status_due: float | None = None
+        self._next_status_at = 0.0
         self._unreported_failures: deque[UnreportedFailure] = deque(
             maxlen=MAX_UNREPORTED_FAILURES
         )
@@ -740,20 +741,24 @@
     def _send_status(self, now: float) -> None:
         """Send the status to each entry for which it is due.
 
-        ``_status_due`` becomes the earliest time at which it is due for one
-        of the others.
+        All entries get what is not urgent at the same times, which are those
+        of the heartbeats if the period allows, so that one message carries
+        both. ``_status_due`` becomes the next such time if one of them still
+        needs the status.
         """
         self._status_due = None
         status = self._status(now)
         connected = self._sessions.connected()
+        is_time = now >= self._next_status_at or now >= self._next_heartbeat
         period_s = status_period_s(len(connected))
+        if is_time:
+            self._next_status_at = now + period_s
         for session in connected:
-            status_or_due = next_status(session, status, period_s, now)
-            if isinstance(status_or_due, WorkerStatus):
-                self._send(session, status_or_due)
-            elif status_or_due is not None:
-                due = self._status_due or status_or_due
-                self._status_due = min(due, status_or_due)
+            update = next_status(session, status, is_time, period_s, now)
+            if update is not None:
+                self._send(session, update)
+            elif session.needs_status:
+                self._status_due = self._next_status_at
 
     def _status(self, now: float) -> WorkerStatus:
         worker = self.worker
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -98,6 +98,8 @@
     :param last_status_at: when it was sent.
     :param last_status_dispatch: number of the last order that it includes.
     :param ended_since_status: whether a run has ended since it was sent.
+    :param needs_status: whether the entry waits for a newer status, which is
+        not urgent.
     """
 
     entry: str
@@ -115,6 +117,7 @@
     last_status_at: float = 0.0
     last_status_dispatch: int = 0
     ended_since_status: bool = False
+    needs_status: bool = False
 
     @property
     def last_confirmed_at(self) -> float:
--- a/packages/briarford/src/briarford/runs/status.py
+++ b/packages/briarford/src/briarford/runs/status.py
@@ -16,9 +16,9 @@
 
 __all__ = ["next_status", "status_period_s"]
 
-# A message takes about 0.1 ms of processor time, so these take 1% of a
-# processor.
-STATUS_MESSAGES_PER_S = 100
+# With five entries, as in a large fleet, a status goes out every 0.1 s, and
+# every second one together with a heartbeat.
+STATUS_MESSAGES_PER_S = 50
 # A status that is older than a short run takes is of little use.
 MAX_STATUS_PERIOD_S = 0.1
 # A status is sent at once if free capacity has fallen to this share of what
@@ -37,32 +37,41 @@
 
 
 def next_status(
-    session: Session, status: WorkerStatus, period_s: float, now: float
-) -> WorkerStatus | float | None:
-    """Return the status to send to an entry now.
+    session: Session,
+    status: WorkerStatus,
+    is_time: bool,
+    period_s: float,
+    now: float,
+) -> WorkerStatus | None:
+    """Return the status to send to an entry now, if any.
+
+    ``needs_status`` of the session is set if the entry does not have the
+    current status and has to wait for it.
 
     :param session: the session of the entry; it is updated if a status is
         returned.
     :param status: the status of the worker, the same for all sessions.
+    :param is_time: whether messages that are not urgent are sent now, to
+        entries that have got none for a period.
     :param period_s: seconds between two messages that are not urgent.
-    :return: the status; or the time at which it is due; or None if the entry
-        has the current status.
+    :param now: Unix time in seconds.
     """
     previous = session.last_status
-    same = (
+    session.needs_status = False
+    if (
         status == previous
         and session.last_dispatch == session.last_status_dispatch
-    )
-    if same:
+    ):
         return None
-    due = session.last_status_at + period_s
     urgent = (
         previous is None
         or session.ended_since_status
         or _is_urgent(previous, status)
     )
-    if now < due and not urgent:
-        return due
+    is_due = is_time and now >= session.last_status_at + period_s
+    if not is_due and not urgent:
+        session.needs_status = True
+        return None
     session.last_status = status
     session.last_status_at = now
     session.last_status_dispatch = session.last_dispatch
--- a/packages/briarford/src/briarford/store/interface.py
+++ b/packages/briarford/src/briarford/store/interface.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-__all__ = ["KeyListing", "KeyValue", "Store"]
+__all__ = ["ChangeStore", "KeyChanges", "KeyListing", "KeyValue", "Store"]
 
 
 class KeyValue(msgspec.Struct, frozen=True):
@@ -36,6 +36,19 @@
     items: tuple[KeyValue, ...]
 
 
+class KeyChanges(msgspec.Struct, frozen=True):
+    """What has changed under a prefix since a revision of the store.
+
+    :param revision: the revision from which to continue.
+    :param written: keys that were written, in the order of the writes.
+    :param deleted: keys that were deleted and not written again.
+    """
+
+    revision: int
+    written: tuple[KeyValue, ...]
+    deleted: tuple[str, ...]
+
+
 class Store(Protocol):
     """A key-value store with compare-and-swap, leases and watches.
 
@@ -87,3 +100,17 @@
         :return: the keys after the change; None if nothing has changed by the
             deadline.
         """
+
+
+class ChangeStore(Store, Protocol):
+    """A store that also tells single changes under a prefix."""
+
+    async def changes(
+        self, prefix: str, after: int, deadline: float
+    ) -> KeyChanges | None:
+        """Wait for changes under a prefix after a revision of the store.
+
+        :return: the changes, none of them if there was none by the deadline;
+            None if the store has forgotten what came after the revision, so
+            that all keys have to be listed again.
+        """
--- a/tests/adapter/stand_in.py
+++ b/tests/adapter/stand_in.py
@@ -23,6 +23,7 @@
         self.fault = ""
         self.revision = 10
         self.items: dict[str, dict[str, Any]] = {}
+        self.deleted: dict[str, int] = {}  # revisions by key
         self.leases: dict[int, int] = {}
         self.history_from = 0
 
@@ -79,7 +80,13 @@
             if i["revision"] > after
             and i["key"].startswith(req.query["prefix"])
         ]
-        return web.json_response({"events": events, "as_of": self.revision})
+        events += [
+            {"key": key, "revision": at, "deleted": True}
+            for key, at in self.deleted.items()
+            if at > after and key.startswith(req.query["prefix"])
+        ]
+        as_of = max([self.revision, *self.deleted.values()])
+        return web.json_response({"events": events, "as_of": as_of})
 
     async def txn(self, req: web.Request) -> web.Response:
         await self._apply_fault()
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -93,6 +93,23 @@
     assert await store.get("k", deadline_in()) is None
 
 
+async def test_store_tells_single_changes(store, store_server):
+    stand_in, _ = store_server
+    await store.swap("p/a", b"1", 0, deadline_in())
+    listing = await store.list("p/", deadline_in())
+    none = await store.changes("p/", listing.revision, deadline_in())
+    assert (none.written, none.deleted) == ((), ())
+    await store.swap("p/b", b"2", 0, deadline_in())
+    changes = await store.changes("p/", listing.revision, deadline_in())
+    assert [(i.key, i.value) for i in changes.written] == [("p/b", b"2")]
+    assert changes.revision > listing.revision
+    stand_in.deleted["p/a"] = stand_in.revision + 1
+    changes = await store.changes("p/", changes.revision, deadline_in())
+    assert changes.deleted == ("p/a",)
+    stand_in.history_from = changes.revision + 1
+    assert await store.changes("p/", 0, deadline_in()) is None
+
+
 async def test_store_watch_reads_all_keys_if_the_history_is_missing(
     store, store_server
 ):
