--- a/packages/briarford/tests/fleet/load.py
+++ b/packages/briarford/tests/fleet/load.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from briarford.outcomes import Completed
@@ -117,6 +118,7 @@
     slow: int = 0,
     agents_after_s: float = 0.0,
     fleet: str = "some slow",
+    lost: Sequence[tuple[float, int]] = (),
 ) -> tuple[dict[str, Tally], World]:
     """Simulate a load and return the result of each kind of request.
 
@@ -127,6 +129,7 @@
     :param agents_after_s: if not 0, all processes are restarted when the
         traffic begins, and agents are up this much later than entries.
     :param fleet: speeds of the workers, a key of ``FLEETS``.
+    :param lost: seconds after which workers of these numbers crash for good.
     """
     speeds = FLEETS[fleet]
     workers = [
@@ -142,6 +145,8 @@
     started_at = world.now
     if agents_after_s:
         world.restart_all(agents_after_s)
+    for seconds_until, number in lost:
+        _schedule_crash(world, workers[number], started_at + seconds_until)
     rng = random.Random(seed + 1)
     planned = arrivals(load, seconds, seed)
     for arrival in planned:
@@ -153,6 +158,10 @@
     return _tally(world, planned, started_at), world
 
 
+def _schedule_crash(world: World, worker: StandInWorker, at: float) -> None:
+    world.at(at, lambda: worker.crash(world.now))
+
+
 def _schedule(
     world: World, entry: str, arrival: _Arrival, started_at: float
 ) -> None:
--- a/packages/briarford/tests/fleet/test_load.py
+++ b/packages/briarford/tests/fleet/test_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fleet.load import STARTED_AT, play
+from fleet.load import KINDS, STARTED_AT, play
 
 # The users ask for about 0.87 of the attainable value on average, under
 # faults and after costs of about 0.09. Before costs that is 0.96 at
@@ -69,3 +69,23 @@
     attainable = sum(t.attainable for t in tallies.values())
     earned = sum(t.earned for t in tallies.values())
     assert earned / attainable >= 0.75
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_lost_worker_takes_few_jobs_with_it(seed):
+    """Guards against jobs whose tasks are spread over many workers.
+
+    Workers are lost at short notice at the usual load. If each task of a job
+    were on a worker of its own, nearly every lost run would delay another
+    job. If each job were on one worker, it would be as many as jobs have to
+    tasks; twice that is allowed.
+    """
+    jobs_per_s = sum(k.per_s for k in KINDS.values())
+    tasks_per_s = sum(k.per_s * k.width for k in KINDS.values())
+    lost = [(1.0 + n / 2, 2 * n) for n in range(4)]
+    _, world = play(1.0, seconds=3.5, seed=seed, fleet="measured", lost=lost)
+    crashed = [i.task for i in world.history() if i.how == "crash"]
+    jobs = {task.partition(".")[0] for task in crashed}
+    assert len(crashed) > 4
+    assert len(jobs) / len(crashed) <= 2 * jobs_per_s / tasks_per_s
+    assert not world.overlaps()
