Send a payload once to each worker of a job

Cause: a start carries the whole payload of its job, 2.4 KB for health-checks of the large site, eight copies a job: 77 ms of a link of 2 Mbit/s.

Change: an order names the payload of the order before it on the connection, if that is of the same job; with the tasks of a job on few workers most are. The world of the load replays checks every payload that reaches a worker, also after faults.

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -78,6 +78,8 @@
         after the last one that its latest status includes.
     :param in_flight_memory_mb: likewise for memory.
     :param in_flight_gpu: likewise for accelerators.
+    :param last_job: id of the job of the latest order on the open connection;
+        its agent has the payload of that job.
     :param unowned: orders of a previous or lost agent process, each with the
         time from which its run has certainly ended.
     """
@@ -109,6 +111,7 @@
     in_flight_cpu: int = 0
     in_flight_memory_mb: int = 0
     in_flight_gpu: int = 0
+    last_job: str = ""
     unowned: list[tuple[float, Dispatch]] = msgspec.field(default_factory=list)
 
     @property
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -185,6 +185,7 @@
         view.link = link
         view.connection = self._last_connection
         view.attached = False
+        view.last_job = ""
         view.linked_at = now
         self._links[link] = view
         attach = Attach(
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -515,15 +515,19 @@
             slowness=status.slowness if status else None,
             free_cpu=view.free_cpu(now),
         )
+        req = task.job.request
+        same_payload = view.last_job == req.job
+        view.last_job = req.job
         order = StartRun(
             task.dispatch,
             task.name,
             task.last_run,
-            task.job.request.payload,
+            "" if same_payload else req.payload,
             step.cpu,
             step.memory_mb,
             step.gpu,
             step.expected_s,
+            same_payload,
         )
         self._agents.send(view, order)
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -546,6 +546,8 @@
                 session.receive_heartbeat(msg)
             case StartRun():
                 session.last_dispatch = msg.dispatch
+                if not msg.same_payload:
+                    session.last_payload = msg.payload
                 self._start(session, msg, now)
             case StopRun():
                 run = session.runs.get(msg.dispatch)
@@ -567,7 +569,7 @@
             msg.dispatch,
             msg.task,
             msg.run,
-            msg.payload,
+            session.last_payload,
             need,
             msg.expected_s,
             now,
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -80,6 +80,8 @@
     :param memory_mb: memory that it needs.
     :param gpu: accelerators that it needs.
     :param expected_s: estimated seconds of work at nominal speed.
+    :param same_payload: whether the payload is that of the previous order on
+        this connection, and ``payload`` is empty.
     """
 
     dispatch: int
@@ -90,6 +92,7 @@
     memory_mb: int
     gpu: int
     expected_s: float
+    same_payload: bool = False
 
 
 class StopRun(Message, frozen=True, tag="stop"):
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -88,6 +88,7 @@
     :param expires_at: when its runs are stopped, unless an echo of a later
         heartbeat arrives before.
     :param last_dispatch: number of the last order that has arrived.
+    :param last_payload: payload of that order.
     :param last_number: number of the last ended run that was reported.
     :param ended: ended runs that the entry has not acknowledged.
     :param runs: its runs on the worker, by number of the order.
@@ -108,6 +109,7 @@
     connection: int
     expires_at: float
     last_dispatch: int = 0
+    last_payload: str = ""
     last_number: int = 0
     ended: list[RunEnded] = msgspec.field(default_factory=list)
     runs: dict[int, Run] = msgspec.field(default_factory=dict)
--- a/packages/briarford/tests/fleet/load.py
+++ b/packages/briarford/tests/fleet/load.py
@@ -177,7 +177,8 @@
         TARGET_S,
     )
     step = StepSpec(arrival.count, arrival.cpu, 64, 0, arrival.expected_s)
-    req = JobRequest(arrival.job, "payload", (step,), best_effort=True)
+    payload = f"of {arrival.job}"
+    req = JobRequest(arrival.job, payload, (step,), best_effort=True)
     node = world.entries[entry]
     world.at(
         started_at + arrival.at,
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -113,6 +113,7 @@
     fault(world)
     world.run(6.0)
     assert not world.overlaps()
+    assert not world.foreign_payloads
     assert len(world.outcomes) == 8
     assert all(isinstance(o, Completed) for _, o in world.outcomes.values())
 
--- a/packages/briarford/tests/fleet/test_load.py
+++ b/packages/briarford/tests/fleet/test_load.py
@@ -37,6 +37,7 @@
     earned = sum(t.earned for t in tallies.values())
     assert earned / attainable >= least
     assert not world.overlaps()
+    assert not world.foreign_payloads
     assert not any(w.rejected_for_capacity for w in world.workers.values())
 
 
@@ -89,3 +90,10 @@
     assert len(crashed) > 4
     assert len(jobs) / len(crashed) <= 2 * jobs_per_s / tasks_per_s
     assert not world.overlaps()
+
+
+def test_a_payload_is_sent_once_to_each_worker_of_a_job():
+    """Guards against links filled with copies of the same payload."""
+    _, world = play(1.0, seconds=1.5, fleet="measured")
+    workers = {(i.task.partition(".")[0], i.worker) for i in world.history()}
+    assert world.payloads_sent <= 1.5 * len(workers)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -25,7 +25,13 @@
     StepSpec,
 )
 from briarford.routes import Route
-from briarford.runs import AgentAddress, Attach, OrderResult, RunAgent
+from briarford.runs import (
+    AgentAddress,
+    Attach,
+    OrderResult,
+    RunAgent,
+    StartRun,
+)
 from briarford.runs.agent import (
     AgentEvent,
     PlaceOrder,
@@ -69,7 +75,7 @@
     :param required_label: label that workers must have; empty for any.
     """
     step = StepSpec(count, cpu, 64, 0, work_s, required_label=required_label)
-    return JobRequest(job, "payload", (step,), best_effort=True)
+    return JobRequest(job, f"of {job}", (step,), best_effort=True)
 
 
 @dataclass
@@ -138,6 +144,8 @@
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.refused: dict[str, Outcome] = {}
         self.refused_at: dict[str, float] = {}
+        self.foreign_payloads: list[str] = []
+        self.payloads_sent = 0
         self.workers = {f"a{n}": w for n, w in enumerate(workers)}
         self.unanswered_order_delay: Callable[[str], float | None] = (
             lambda task: None
@@ -296,6 +304,8 @@
     def _perform(self, node: Node, effect: Any) -> None:
         match effect:
             case SendToEntry(link, message) | SendToAgent(link, message):
+                if isinstance(message, StartRun) and message.payload:
+                    self.payloads_sent += 1
                 self._deliver(node, link, message)
             case DialAgent(agent, _):
                 self._dial(node, self.agents[agent])
@@ -439,6 +449,8 @@
 
     def _place(self, node: Node, order: PlaceOrder) -> None:
         """Carry out an agent's order to start a run at its worker."""
+        if order.payload != f"of {order.task.partition('.')[0]}":
+            self.foreign_payloads.append(order.task)
         worker, core = self.workers[node.name], node.core
         lease_s = core.lease_s(self.now)
         core.lease_extended(lease_s, self.now)
