--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -258,7 +258,9 @@
         :param work: expected work of the task.
         :param late: whether it can no longer end in time.
         :param estimated: whether the wait of its job could be estimated on
-            admission; the correction learns only from such jobs.
+            admission, and this is the first run of the task; the correction
+            learns only from these, as a task that runs again is late because
+            of a fault.
         :param now: Unix time in seconds.
         """
         if estimated:
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -483,6 +483,7 @@
         Run numbers follow the clock in milliseconds, so that they rise even
         if the job is repeated at another entry.
         """
+        is_retry = bool(task.last_run)
         self._last_dispatch += 1
         step = task.spec
         task.phase = TaskPhase.PLACED
@@ -502,7 +503,10 @@
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
         self._unended_runs[task.name] += 1
         self._admission.record_start(
-            task.spec.work, now > task.start_by, task.job.estimated, now
+            task.spec.work,
+            now > task.start_by,
+            task.job.estimated and not is_retry,
+            now,
         )
         task.job.started = True
         status = view.status
--- a/packages/briarford/tests/fleet/load.py
+++ b/packages/briarford/tests/fleet/load.py
@@ -30,6 +30,7 @@
 TARGET_S = 0.06
 LATE_VALUE_FACTOR = 0.2
 FINISH_S = 10.0
+UNANSWERED_DELAY_S = 3.0
 STARTED_AT = 1001.0  # on the clock of the world
 
 
@@ -119,6 +120,7 @@
     agents_after_s: float = 0.0,
     fleet: str = "some slow",
     lost: Sequence[tuple[float, int]] = (),
+    unanswered: float = 0.0,
 ) -> tuple[dict[str, Tally], World]:
     """Simulate a load and return the result of each kind of request.
 
@@ -130,6 +132,8 @@
         traffic begins, and agents are up this much later than entries.
     :param fleet: speeds of the workers, a key of ``FLEETS``.
     :param lost: seconds after which workers of these numbers crash for good.
+    :param unanswered: share of the orders that workers leave unanswered and
+        carry out ``UNANSWERED_DELAY_S`` later.
     """
     speeds = FLEETS[fleet]
     workers = [
@@ -145,6 +149,11 @@
     started_at = world.now
     if agents_after_s:
         world.restart_all(agents_after_s)
+    if unanswered:
+        fault_rng = random.Random(seed + 2)
+        world.unanswered_order_delay = lambda task: (
+            UNANSWERED_DELAY_S if fault_rng.random() < unanswered else None
+        )
     for seconds_until, number in lost:
         _schedule_crash(world, workers[number], started_at + seconds_until)
     rng = random.Random(seed + 1)
--- a/packages/briarford/tests/fleet/test_load.py
+++ b/packages/briarford/tests/fleet/test_load.py
@@ -97,3 +97,17 @@
     _, world = play(1.0, seconds=1.5, fleet="measured")
     workers = {(i.task.partition(".")[0], i.worker) for i in world.history()}
     assert world.payloads_sent <= 1.5 * len(workers)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_orders_that_workers_leave_unanswered_cause_no_refusals(seed):
+    """Guards against estimates spoilt by retries.
+
+    A task whose order was left unanswered starts late elsewhere. That says
+    nothing about how long the next job would wait.
+    """
+    tallies, world = play(
+        1.0, seconds=4.0, seed=seed, fleet="measured", unanswered=0.2
+    )
+    assert not sum(t.refused for t in tallies.values())
+    assert not world.overlaps()
