--- a/packages/briarford-daemon/src/briarford_daemon/frames.py
+++ b/packages/briarford-daemon/src/briarford_daemon/frames.py
@@ -118,8 +118,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send or await the name of the service."""
         self._transport = cast(asyncio.Transport, transport)
-        host, port = transport.get_extra_info("peername")[:2]
-        self.peer = f"{host}:{port}"
+        # There is no peer name if the peer has gone already.
+        peername = transport.get_extra_info("peername") or ("", 0)
+        self.peer = f"{peername[0]}:{peername[1]}"
         if self._make_handler is not None:
             self.send(self._service.encode())
             self._handler = self._make_handler(self)
--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -1,9 +1,9 @@
 """A small HTTP server on the httptools parser.
 
-The processes on the users' platform are started often and hold little
-memory: this server takes a tenth of the time to import of a framework, and
-serves each request with one function call. Requests on one connection are
-answered one after the other, in their order.
+The processes on the users' platform are restarted all at once and have little
+memory, so they do without a web framework, whose import took most of their
+start. Requests on one connection are answered one after the other, in their
+order.
 """
 
 from __future__ import annotations
