Use the usual terms in comments of frames and run listings

Cause: some comments and a test used spoken words (wanted, told, gone). Change: comments, docstrings and one local name of a test; no behaviour.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -48,9 +48,9 @@
 # Each request renews the lease of one second, so it is renewed five times.
 LISTING_WAIT_S = 0.2
 LISTING_RETRY_DELAY_S = 0.05
-# If an answer is this late, it was lost or the worker does not answer. A
-# second request, which does not wait, tells which. A worker that has not
-# answered for ``UNRESPONSIVE_AFTER_S`` gets no runs.
+# If an answer is this late, it was lost or the worker is unresponsive. A
+# hedged request, which the worker answers at once, shows which of the two.
+# After ``UNRESPONSIVE_AFTER_S`` without an answer a worker gets no runs.
 HEDGE_AFTER_S = LISTING_WAIT_S + 0.03
 # Runs of one job end within milliseconds; the next request waits for them,
 # so that one answer reports them all.
--- a/packages/briarford-daemon/src/briarford_daemon/frames.py
+++ b/packages/briarford-daemon/src/briarford_daemon/frames.py
@@ -1,8 +1,8 @@
 """Connections between processes that carry length-prefixed frames.
 
 A frame is its length, four bytes in network order, and that many bytes. The
-first frame of a connection names the service that the dialing side wants; the
-others are messages of that service. A connection that exceeds a limit is
+first frame of a connection names the service that the dialing side requests;
+the others are messages of that service. A connection that exceeds a limit is
 aborted rather than slowed down: heartbeats on it would be late, and a new one
 resumes the session.
 """
@@ -118,7 +118,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send or await the name of the service."""
         self._transport = cast(asyncio.Transport, transport)
-        # There is no peer name if the peer has gone already.
+        # The peer name is missing if the peer has already disconnected.
         peername = transport.get_extra_info("peername") or ("", 0)
         self.peer = f"{peername[0]}:{peername[1]}"
         if self._make_handler is not None:
@@ -253,7 +253,7 @@
     """Open a connection; the caller limits the time.
 
     :param address: host and port of the peer.
-    :param service: name of the service that is wanted.
+    :param service: name of the requested service.
     :param make_handler: makes the handler of the connection.
     :return: the handler.
     :raises OSError: if no connection could be opened.
--- a/packages/briarford-daemon/tests/test_agent_directory.py
+++ b/packages/briarford-daemon/tests/test_agent_directory.py
@@ -97,11 +97,11 @@
     """Guards against agents that are missed after a gap in the changes."""
     for name in ("READ_GAP_S", "STARTUP_READ_GAP_S", "POLL_PERIOD_S"):
         monkeypatch.setattr(registry, name, 0.001)
-    told = []
+    listings = []
 
     def on_listed(agents):
         ports = {n: int(a.address.split(":")[1]) for n, a in agents.items()}
-        told.append(ports)
+        listings.append(ports)
 
     store = FakeStore(lists, changes)
     directory = AgentDirectory(store, BootClock(), on_listed)
@@ -110,7 +110,7 @@
         while len(store.watched_from) < len(watched_from):  # noqa: ASYNC110
             await asyncio.sleep(0.001)
     task.cancel()
-    assert told == seen
+    assert listings == seen
     assert store.watched_from == watched_from
 
 
@@ -121,13 +121,13 @@
     store = FakeStore(
         [FIRST, KeyListing(6, (item("z", 9),))], [KeyChanges(5, (), ())] * 200
     )
-    told = []
+    listings = []
     directory = AgentDirectory(
-        store, BootClock(), lambda a: told.append(set(a))
+        store, BootClock(), lambda a: listings.append(set(a))
     )
     task = asyncio.create_task(directory.run())
     async with asyncio.timeout(LIMIT_S):
-        while len(told) < 2:  # noqa: ASYNC110
+        while len(listings) < 2:  # noqa: ASYNC110
             await asyncio.sleep(0.001)
     task.cancel()
-    assert told == [{"a", "b"}, {"z"}]
+    assert listings == [{"a", "b"}, {"z"}]
