Sum up lost requests by their cause, from logs

Change: briarford losses LOG... finds each request that was refused, late, failed, abandoned or cut, and names the cause that its lines show; accepted has expected_ms and stretch, refused has the cores that no run held and the factor of the estimate, without which lateness and refusals cannot be judged. Reading a log file moves from the explain command to the timeline module.

--- a/packages/briarford-cli/src/briarford_cli/explain_command.py
+++ b/packages/briarford-cli/src/briarford_cli/explain_command.py
@@ -6,13 +6,12 @@
 from pathlib import Path
 from typing import Any
 
-from briarford_cli.exceptions import InputError
 from briarford_cli.output import Format, show_record, show_table
 from briarford_cli.timeline import (
     LogLine,
     Timeline,
     build_timeline,
-    read_lines,
+    read_log,
 )
 
 __all__ = ["explain"]
@@ -34,7 +33,7 @@
     :param logs: a log file of an entry or agent; may be given several times.
     :param format: table or json.
     """
-    lines = [line for path in logs for line in _read_log(path)]
+    lines = [line for path in logs for line in read_log(path)]
     timeline = build_timeline(job, lines)
     if format is Format.JSON:
         show_record(_make_document(timeline), format)
@@ -44,14 +43,6 @@
         sys.exit(EXIT_NOT_FOUND)
 
 
-def _read_log(path: Path) -> list[LogLine]:
-    try:
-        text = path.read_text(encoding="utf-8", errors="replace")
-    except OSError as exc:
-        raise InputError(f"cannot read '{path}': {exc.strerror}") from exc
-    return read_lines(text.splitlines())
-
-
 def _print_timeline(timeline: Timeline) -> None:
     print(f"job {timeline.job}: {timeline.outcome or 'outcome unknown'}")
     if timeline.events:
--- a/packages/briarford-cli/src/briarford_cli/main.py
+++ b/packages/briarford-cli/src/briarford_cli/main.py
@@ -13,6 +13,7 @@
 from briarford_cli.drain_commands import drain, undrain
 from briarford_cli.explain_command import explain
 from briarford_cli.job_commands import status, submit
+from briarford_cli.losses_command import losses
 from briarford_cli.preset_commands import preset_app
 from briarford_cli.stand_in_commands import backend_stand_in, kv_stand_in
 
@@ -31,6 +32,7 @@
 app.command(submit)
 app.command(status)
 app.command(explain)
+app.command(losses)
 app.command(preset_app)
 app.command(drain)
 app.command(undrain)
--- a/packages/briarford-cli/src/briarford_cli/timeline.py
+++ b/packages/briarford-cli/src/briarford_cli/timeline.py
@@ -9,11 +9,20 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import msgspec
 
-__all__ = ["LogLine", "Timeline", "build_timeline", "read_lines"]
+from briarford_cli.exceptions import InputError
+
+__all__ = [
+    "LogLine",
+    "Timeline",
+    "build_timeline",
+    "read_lines",
+    "read_log",
+]
 
 # Events of a whole process or worker, which name no job. They are part of the
 # timeline if they fall between the first and the last line of the job.
@@ -109,6 +118,18 @@
     return decoded_lines
 
 
+def read_log(path: Path) -> list[LogLine]:
+    """Decode the lines of a log file.
+
+    :raises InputError: if the file cannot be read.
+    """
+    try:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as exc:
+        raise InputError(f"cannot read '{path}': {exc.strerror}") from exc
+    return read_lines(text.splitlines())
+
+
 def build_timeline(job: str, lines: Iterable[LogLine]) -> Timeline:
     """Build the timeline of a job.
 
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from briarford.outcomes import (
@@ -27,6 +27,7 @@
     JobRequest,
     Task,
     TaskPhase,
+    longest_chain_s,
     make_job,
 )
 from briarford.requests.placing import (
@@ -137,7 +138,7 @@
         ]
         refused = self._admission.check(request, route, usable, now)
         if refused is not None:
-            self._log_refusal(request, route, refused, now)
+            self._log_refusal(request, route, refused, usable, now)
             return refused
         job = make_job(request, route, now)
         job.estimated = not self._admission.is_attaching(route.service, now)
@@ -149,6 +150,8 @@
             route=route.name,
             tasks=len(job.tasks),
             objective_ms=round((job.objective_at - now) * 1000),
+            expected_ms=round(longest_chain_s(request.steps) * 1000),
+            stretch=route.stretch,
             waiting=len(self._waiting),
         )
         self._release_steps(job)
@@ -642,7 +645,12 @@
         self._effects.append(effect)
 
     def _log_refusal(
-        self, request: JobRequest, route: Route, refused: Refused, now: float
+        self,
+        request: JobRequest,
+        route: Route,
+        refused: Refused,
+        usable: Sequence[AgentView],
+        now: float,
     ) -> None:
         self.counts[f"refused-{refused.reason.value}"] += 1
         self._log(
@@ -655,6 +663,8 @@
             drain_cores=round(
                 self._admission.started_work_per_s(now) / 1000, 1
             ),
+            spare_cores=round(sum(v.spare_cpu for v in usable) / 1000, 1),
+            correction=round(self._admission.correction, 2),
         )
 
     def _log(self, action: str, **fields: Any) -> None:
