--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from briarford.requests.agents import AgentView, slowness_of
 from briarford.requests.job import StepSpec, Task
@@ -94,7 +94,7 @@
     in_time = [v for v in fitting if _run_s(task, v) <= left_s]
     if not in_time:
         return _choose_for_late_task(task, fitting, views, now)
-    used_by_job = {t.agent for t in task.job.tasks}
+    used_by_job = _used_by_job(task)
     if held_share < BUSY_UTILISATION:
         return min(
             in_time,
@@ -121,6 +121,11 @@
     return min(in_time, key=lambda v: _run_s(task, v))
 
 
+def _used_by_job(task: Task) -> Collection[str]:
+    """Return the agents that run tasks of the same job."""
+    return {t.agent for t in task.job.tasks}
+
+
 def _rounded_slowness(view: AgentView, spec: StepSpec) -> float:
     """Return the slowness rounded to 0.1, as smaller differences are noise."""
     return round(slowness_of(view, spec), 1)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -477,11 +477,12 @@
         """
         if not run.sampled and run.expected_s > 0:
             run.sampled = True
-            self._slowness.observe(total_s / run.expected_s, now)
+            self._slowness.observe(
+                _job_of(run), total_s / run.expected_s, now
+            )
 
     def _count_failure(self, run: Run, now: float) -> None:
-        job = run.task.partition(".")[0]
-        if self._failure_guard.failed(job, now):
+        if self._failure_guard.failed(_job_of(run), now):
             self._log(
                 "worker-suspended",
                 until=round(self._failure_guard.suspended_until, 2),
@@ -857,6 +858,11 @@
         self._effects.append(AgentEvent(action, fields))
 
 
+def _job_of(run: Run) -> str:
+    """Return the job of a run, which its task is named after."""
+    return run.task.partition(".")[0]
+
+
 def _incarnation(report: WorkerReport) -> tuple[str, int]:
     return report.worker, report.born_ms
 
--- a/packages/briarford/src/briarford/runs/health.py
+++ b/packages/briarford/src/briarford/runs/health.py
@@ -24,6 +24,11 @@
 # the same direction, are not random: the worker's speed has changed.
 SHIFT_LOG_RATIO = math.log(1.7)
 SHIFT_SAMPLES = 4
+# The estimate of one job is off by as much as workers differ. As long as there
+# are few samples, a worker is therefore taken to be nominal to some extent, as
+# if this many samples had shown that.
+PRIOR_SAMPLES = 0.5
+SAMPLED_JOBS = 32  # more jobs than run on a worker at the same time
 SLOWNESS_RANGE = (0.1, 15.0)
 # Without new samples the learnt slowness decays towards 1.0. Otherwise a
 # worker that was slow for a while would never get another run.
@@ -40,9 +45,20 @@
     the samples are averaged; the first samples have a larger weight. If the
     latest samples all differ from the average in the same direction, the
     average restarts from them. Without samples it decays towards 1.0.
+
+    The tasks of a job share its client's estimate and often its worker, so
+    only the first of them is a sample: several would show the error of one
+    estimate, not the worker.
     """
 
-    __slots__ = ("_count", "_mean", "_recent", "_recorded", "_sampled_at")
+    __slots__ = (
+        "_count",
+        "_jobs",
+        "_mean",
+        "_recent",
+        "_recorded",
+        "_sampled_at",
+    )
 
     def __init__(self) -> None:
         self._mean = 0.0
@@ -50,10 +66,14 @@
         self._count = 0.0
         self._sampled_at = 0.0
         self._recent: deque[float] = deque(maxlen=SHIFT_SAMPLES)
+        self._jobs: deque[str] = deque(maxlen=SAMPLED_JOBS)
 
     def factor(self, now: float) -> float:
         """Return the learnt slowness; 1.0 before any run."""
-        return math.exp(self._mean * self._remaining_weight(now))
+        certainty = 1.0
+        if self._count < SHIFT_SAMPLES:
+            certainty = self._count / (self._count + PRIOR_SAMPLES)
+        return math.exp(self._mean * certainty * self._remaining_weight(now))
 
     @property
     def recorded(self) -> float:
@@ -75,11 +95,15 @@
             self._count = SHIFT_SAMPLES
             self._sampled_at = now
 
-    def observe(self, ratio: float, now: float) -> None:
-        """Add a sample.
+    def observe(self, job: str, ratio: float, now: float) -> None:
+        """Add a sample, unless the same job has given one lately.
 
+        :param job: the job of the run.
         :param ratio: run time divided by the expected run time.
         """
+        if job in self._jobs:
+            return
+        self._jobs.append(job)
         remaining = self._remaining_weight(now)
         self._mean *= remaining
         self._count *= remaining
