Bear malformed messages and unexpected errors

Change: background tasks run again after an error; turns, effects, messages, frames and calls to the worker are guarded one by one, each with a line, and error lines are counted in the metrics. Chains of steps are worked out backwards, and a job counts its open tasks by step.

--- a/packages/briarford-daemon/src/briarford_daemon/driver.py
+++ b/packages/briarford-daemon/src/briarford_daemon/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
@@ -10,6 +11,11 @@
 
 __all__ = ["Core", "CoreDriver"]
 
+LOGGER = logging.getLogger("briarford.driver")
+
+# A turn that has failed left its deadlines as they were.
+FAILED_TURN_DELAY_S = 0.05
+
 M = TypeVar("M", contravariant=True)
 E = TypeVar("E", covariant=True)
 D = TypeVar("D")
@@ -81,15 +87,28 @@
         self._scheduled = False
         if self._closed:
             return
-        for effect in self._core.turn(self._clock.now()):
-            self._perform(effect)
+        try:
+            effects = self._core.turn(self._clock.now())
+        except Exception:
+            LOGGER.exception("turn-failed")
+            self._schedule_timer(FAILED_TURN_DELAY_S)
+            return
+        for effect in effects:
+            try:
+                self._perform(effect)
+            except Exception:
+                LOGGER.exception(
+                    "effect-failed", extra={"effect": type(effect).__name__}
+                )
         self._schedule_timer()
 
-    def _schedule_timer(self) -> None:
+    def _schedule_timer(self, least_delay_s: float = 0.0) -> None:
         """Schedule a turn at the core's next deadline.
 
         A timer that fires earlier is left as it is; the turn that it causes
         schedules the next one.
+
+        :param least_delay_s: seconds before which no turn is scheduled.
         """
         deadline = self._core.next_deadline()
         if deadline is None:
@@ -99,7 +118,7 @@
                 return
             self._timer.cancel()
         self._timer_at = deadline
-        delay_s = max(0.0, deadline - self._clock.now())
+        delay_s = max(least_delay_s, deadline - self._clock.now())
         self._timer = self._loop.call_later(delay_s, self._on_timer)
 
     def _on_timer(self) -> None:
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -161,9 +161,9 @@
         """Listen for entries, register, and begin to poll the worker."""
         self._driver = TurnDriver(self.core, self._clock, self._perform)
         await self._links.start(self._cfg.ip, self._cfg.rpc_port)
-        self._tasks.spawn(self._registration.run())
-        self._tasks.spawn(self._poll_run_listings())
-        self._tasks.spawn(self._hedge_run_listings())
+        self._tasks.keep_running(self._registration.run)
+        self._tasks.keep_running(self._poll_run_listings)
+        self._tasks.keep_running(self._hedge_run_listings)
         self._driver.wake()
 
     def apply_settings(self, cfg: FleetSettings) -> None:
@@ -258,7 +258,13 @@
     ) -> None:
         now = self._clock.now()
         for msg in messages:
-            self.core.handle(link, msg, now)
+            try:
+                self.core.handle(link, msg, now)
+            except Exception:
+                # A peer sends it again after a reconnection.
+                EVENTS.exception(
+                    "message-failed", extra={"kind": type(msg).__name__}
+                )
         self._wake()
 
     def _on_link_closed(self, link: int) -> None:
@@ -298,9 +304,14 @@
         now = self._clock.now()
         lease_s = self.core.lease_s(now)
         self.core.lease_extended(lease_s, now)
-        result = await self._worker_api.start_run(
-            worker, order, self._fencing_token, lease_s
-        )
+        try:
+            result = await self._worker_api.start_run(
+                worker, order, self._fencing_token, lease_s
+            )
+        except Exception:
+            # The order may have been sent, so the run is withdrawn.
+            EVENTS.exception("order-failed", extra={"task": order.task})
+            result = OrderResult.UNANSWERED
         if result is OrderResult.FENCED:
             self._raise_token()
         self.core.order_answered(order.key, result, self._clock.now())
@@ -312,9 +323,7 @@
         Gives up if there is no worker any more or if the run has ended.
         """
         while (worker := self.core.worker) is not None:
-            if await self._worker_api.stop_run(
-                worker, order, self._fencing_token
-            ):
+            if await self._confirm_stop(worker, order):
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
                 # Only the run listing shows whether the run had started.
@@ -324,6 +333,18 @@
                 return
             await asyncio.sleep(WITHDRAW_RETRY_DELAY_S)
 
+    async def _confirm_stop(
+        self, worker: WorkerReport, order: WithdrawRun
+    ) -> bool:
+        """Order the worker once to stop a run; False if not confirmed."""
+        try:
+            return await self._worker_api.stop_run(
+                worker, order, self._fencing_token
+            )
+        except Exception:
+            EVENTS.exception("stop-failed", extra={"task": order.task})
+            return False
+
     async def _poll_run_listings(self) -> None:
         """Read the run listing in a loop, which also renews the lease.
 
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -103,8 +103,8 @@
     async def start(self) -> None:
         """Begin to follow the configuration and the registered agents."""
         self._driver = TurnDriver(self.core, self.clock, self._perform)
-        self._tasks.spawn(self._directory.run())
-        self._tasks.spawn(self._configuration.run())
+        self._tasks.keep_running(self._directory.run)
+        self._tasks.keep_running(self._configuration.run)
         self._driver.wake()
 
     def apply_settings(self, cfg: FleetSettings) -> None:
@@ -209,7 +209,13 @@
     ) -> None:
         now = self.clock.now()
         for msg in messages:
-            self.core.handle(link, msg, now)
+            try:
+                self.core.handle(link, msg, now)
+            except Exception:
+                # A peer sends it again after a reconnection.
+                EVENTS.exception(
+                    "message-failed", extra={"kind": type(msg).__name__}
+                )
         self._wake()
 
     def _on_agents_listed(self, directory: dict[str, AgentAddress]) -> None:
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Generic, TypeVar
 
+from briarford.exceptions import SettingsError
 from briarford.messages import decode, encode
 from briarford.runs import (
     AgentBatch,
@@ -214,7 +215,8 @@
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 await dial(address, RUNS_SERVICE, make_handler)
-        except CONNECTION_ERRORS as exc:
+        except (*CONNECTION_ERRORS, SettingsError) as exc:
+            # A record may have an address that is none.
             LOGGER.info(
                 "link-lost", extra={"agent": agent, "error": repr(exc)}
             )
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/metrics.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus.renderer import render
 
 from briarford_daemon.http_listener import Handler, HttpCall, HttpReply
+from briarford_daemon.log_lines import ERROR_LINES
 
 __all__ = ["FleetMetrics", "handle_scrapes"]
 
@@ -95,6 +96,8 @@
         """Return all metrics as text."""
         for kind, count in self._event_counts.items():
             self._events_total.set({"kind": kind}, count)
+        for event, count in ERROR_LINES.counts.items():
+            self._events_total.set({"kind": f"error-{event}"}, count)
         for (call, result), count in self._store_calls.items():
             self._store_calls_total.set(
                 {"call": call, "result": result}, count
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from briarford.exceptions import StoreError
+from briarford.messages import decode_json
 from briarford.runs import AgentAddress, WorkerReport
 from briarford.store import ChangeStore, KeyValue
 from briarford_daemon.fleet.clock import BootClock
@@ -199,7 +200,7 @@
 
     def _pass_on_stored_record(self, value: bytes) -> None:
         try:
-            record = msgspec.json.decode(value, type=AgentRecord)
+            record = decode_json(value, AgentRecord)
         except msgspec.DecodeError as exc:
             LOGGER.warning("record-unreadable", extra={"error": str(exc)})
         else:
@@ -280,7 +281,7 @@
     addresses = {}
     for item in items:
         try:
-            record = msgspec.json.decode(item.value, type=AgentRecord)
+            record = decode_json(item.value, AgentRecord)
         except msgspec.DecodeError as exc:
             LOGGER.warning(
                 "record-unreadable",
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
@@ -55,7 +55,11 @@
         raise SettingsError(
             f"cannot read '{path}': {exc.strerror}; check the path"
         ) from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (
+        tomllib.TOMLDecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as exc:
         raise SettingsError(f"'{path}' is not TOML: {exc}") from exc
     except msgspec.ValidationError as exc:
         raise SettingsError(f"'{path}': {exc}") from exc
--- a/packages/briarford-daemon/src/briarford_daemon/frames.py
+++ b/packages/briarford-daemon/src/briarford_daemon/frames.py
@@ -154,6 +154,11 @@
             self._cause = exc
             self.abort()
             return
+        except Exception as exc:
+            LOGGER.exception("frame-failed", extra={"peer": self.peer})
+            self._cause = exc
+            self.abort()
+            return
         del received[:at]
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/briarford-daemon/src/briarford_daemon/log_lines.py
+++ b/packages/briarford-daemon/src/briarford_daemon/log_lines.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter, deque
 
-__all__ = ["LineRateLimiter", "PipeHandler"]
+__all__ = ["ERROR_LINES", "ErrorCounter", "LineRateLimiter", "PipeHandler"]
 
 # More than two lines per task at the peak traffic of one entry.
 MAX_LINES_PER_S = 400
@@ -53,6 +53,24 @@
         return True
 
 
+class ErrorCounter(logging.Handler):
+    """Counts lines of level error by their event, for the metrics.
+
+    ``counts`` has the numbers, also of lines that the rate limit suppresses.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.counts: Counter[str] = Counter()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count a line."""
+        self.counts[str(record.msg)] += 1
+
+
+ERROR_LINES = ErrorCounter()
+
+
 class PipeHandler(logging.Handler):
     """Writes log lines to a descriptor without waiting for its reader.
 
--- a/packages/briarford-daemon/src/briarford_daemon/logs.py
+++ b/packages/briarford-daemon/src/briarford_daemon/logs.py
@@ -8,7 +8,11 @@
 
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-from briarford_daemon.log_lines import LineRateLimiter, PipeHandler
+from briarford_daemon.log_lines import (
+    ERROR_LINES,
+    LineRateLimiter,
+    PipeHandler,
+)
 
 if TYPE_CHECKING:
     from briarford.dispatch.messages import Decision
@@ -52,7 +56,7 @@
         )
     )
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    root.handlers[:] = [handler, ERROR_LINES]
     root.setLevel(level.upper())
 
 
--- a/packages/briarford/src/briarford/messages.py
+++ b/packages/briarford/src/briarford/messages.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-__all__ = ["Message", "decode", "encode"]
+__all__ = ["Message", "decode", "decode_json", "encode"]
 
 M = TypeVar("M")
+J = TypeVar("J")
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -38,4 +39,21 @@
     :param kind: the class of the message.
     :raises msgspec.DecodeError: if the bytes are not such a message.
     """
-    return msgspec.msgpack.decode(data, type=kind)
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("nested too deeply") from exc
+
+
+def decode_json(data: bytes, kind: type[J]) -> J:
+    """Decode JSON and check the types of its fields.
+
+    :param data: UTF-8 text.
+    :param kind: the class to decode to.
+    :raises msgspec.DecodeError: if the text is not such JSON, also if it is
+        not UTF-8 or is nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (RecursionError, UnicodeDecodeError) as exc:
+        raise msgspec.DecodeError(f"not readable: {exc}") from exc
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -353,8 +353,8 @@
 
     def _task_done(self, task: Task, now: float) -> None:
         """Complete the job, or queue steps that waited for the task's step."""
-        task.phase = TaskPhase.DONE
         job = task.job
+        job.mark_done(task)
         if job.done:
             self._end_job(job, Completed(()), now)
         elif job.step_done(task.step):
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -119,6 +119,7 @@
     :param estimated: whether admission could estimate its wait; False if no
         worker of its service was usable yet, or only for a short time.
     :param ended: whether it has got its outcome.
+    :param open_tasks: number of tasks that are not done, by step.
     """
 
     request: JobRequest
@@ -129,6 +130,7 @@
     started: bool = False
     estimated: bool = True
     ended: bool = False
+    open_tasks: list[int] = msgspec.field(default_factory=list)
 
     @property
     def expires_at(self) -> float:
@@ -138,14 +140,17 @@
 
     def step_done(self, step: int) -> bool:
         """Whether all tasks of a step are done."""
-        return all(
-            t.phase is TaskPhase.DONE for t in self.tasks if t.step == step
-        )
+        return step >= len(self.open_tasks) or not self.open_tasks[step]
+
+    def mark_done(self, task: Task) -> None:
+        """Record that a task is done."""
+        task.phase = TaskPhase.DONE
+        self.open_tasks[task.step] -= 1
 
     @property
     def done(self) -> bool:
         """Whether all tasks are done."""
-        return all(t.phase is TaskPhase.DONE for t in self.tasks)
+        return not any(self.open_tasks)
 
 
 def longest_chain_s(steps: tuple[StepSpec, ...]) -> float:
@@ -162,24 +167,22 @@
     chain_s = longest_chain_s(request.steps)
     objective_s = route.stretch * chain_s + route.target_s
     job = Job(request, route, now, now + objective_s)
+    job.open_tasks = [s.count for s in request.steps]
+    chains_s = _longest_chains_from_s(request.steps)
     for number, step in enumerate(request.steps):
-        start_by = job.objective_at - _longest_chain_from_s(
-            request.steps, number
-        )
+        start_by = job.objective_at - chains_s[number]
         for index in range(step.count):
             name = f"{request.job}.0.{number}.{index}"
             job.tasks.append(Task(name, job, number, step, start_by))
     return job
 
 
-def _longest_chain_from_s(steps: tuple[StepSpec, ...], number: int) -> float:
-    """Return the expected seconds of the longest chain that starts at a step.
-
-    :param number: number of the step.
-    """
-    followers = [
-        _longest_chain_from_s(steps, later)
-        for later in range(number + 1, len(steps))
-        if number in steps[later].after
-    ]
-    return steps[number].expected_s + max(followers, default=0.0)
+def _longest_chains_from_s(steps: tuple[StepSpec, ...]) -> list[float]:
+    """Return the expected seconds of the longest chain from each step on."""
+    chains_s = [s.expected_s for s in steps]
+    for number in range(len(steps) - 1, -1, -1):
+        for earlier in steps[number].after:
+            if earlier < number:
+                chain_s = steps[earlier].expected_s + chains_s[number]
+                chains_s[earlier] = max(chains_s[earlier], chain_s)
+    return chains_s
