Hold the events of frames, turns and requests to the page

The test of the events page now reads the modules below the fleet's own, whose events reach the same logs; two events were missing on the page.

--- a/packages/briarford-daemon/tests/test_events_page.py
+++ b/packages/briarford-daemon/tests/test_events_page.py
@@ -21,6 +21,10 @@
         "*.py"
     ),
     *(ROOT / "platform/src/briarford_platform").glob("*.py"),
+    *(
+        ROOT / "packages/briarford-daemon/src/briarford_daemon" / name
+        for name in ("driver.py", "frames.py", "http_listener.py")
+    ),
 ]
 LOGGED = re.compile(
     r"(?:_log|LOGGER\.\w+|EVENTS\.\w+|_stop_session_runs)\("
