Ignore orders that were held up; stand back for a later agent process

Two processes of one agent that both live, as after a freeze, write the record in turns, each raising its token, so that each has the other's orders refused. That a worker drains was stored with the next renewal, up to 1.5 s after it was acknowledged: a process that followed in between used the worker again. Change: orders carry the heartbeat of the agent that the entry last received, and the agent refuses those older than 0.7 s. A process that finds the record of a later one orders nothing until that record is gone. A draining or leaving worker is stored at once. The explorer has seven more faults: an agent that runs slowly, freezes shortly or is replaced while frozen, heartbeats held either way, late listings, lost answers of stops.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -154,6 +154,7 @@
             self._make_record,
             self._on_record_found,
             self._on_registered,
+            self._on_replaced,
         )
         self._report_received = asyncio.Event()
 
@@ -196,8 +197,17 @@
             await asyncio.sleep(DRAIN_POLL_PERIOD_S)
 
     def worker_reported(self, report: WorkerReport) -> None:
-        """Pass a heartbeat of the worker to the core."""
+        """Pass a heartbeat of the worker to the core.
+
+        That it drains is stored at once: another process of this agent, which
+        may follow before the next heartbeat, must not use it.
+        """
+        was_draining = self.core.worker is not None and (
+            self.core.worker.draining
+        )
         self.core.worker_reported(report, self._clock.now())
+        if report.draining and not was_draining:
+            self._registration.record_changed()
         self._report_received.set()
         self._wake()
 
@@ -207,6 +217,7 @@
         :param worker: id of the worker.
         """
         self.core.worker_left(worker, self._clock.now())
+        self._registration.record_changed()
         self._wake()
 
     def _make_record(self) -> AgentRecord:
@@ -219,7 +230,12 @@
         if worker is not None:
             worker = msgspec.structs.replace(worker, clock_ms=0, sequence=0)
         address = f"{self._cfg.ip}:{self._cfg.rpc_port}"
-        return AgentRecord(address, worker, self.core.recorded_slowness)
+        return AgentRecord(
+            address,
+            worker,
+            self.core.recorded_slowness,
+            self.core.incarnation,
+        )
 
     def _on_record_found(self, record: AgentRecord) -> None:
         """Restore the worker that a previous process has stored."""
@@ -245,6 +261,16 @@
         self.core.has_token = True
         self._wake()
 
+    def _on_replaced(self) -> None:
+        """Leave the worker to the later process of this agent.
+
+        It orders nothing more until it is registered again; the runs that it
+        has ordered end with their leases.
+        """
+        self._token_outdated = True
+        self.core.has_token = False
+        self._wake()
+
     def _wake(self) -> None:
         if self._driver is not None:
             self._driver.wake()
@@ -320,9 +346,12 @@
     async def _withdraw_run(self, order: WithdrawRun) -> None:
         """Repeat the order to stop a run until the worker confirms it.
 
-        Gives up if there is no worker any more or if the run has ended.
+        Gives up if there is no worker any more, if the run has ended, or if
+        another process of this agent has taken over.
         """
         while (worker := self.core.worker) is not None:
+            if not self.core.has_token:
+                return
             if await self._confirm_stop(worker, order):
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -58,11 +58,14 @@
         sequence number.
     :param slowness: measured time of runs on the worker divided by their
         expected time.
+    :param incarnation: of the agent's process; empty in records of versions
+        that did not write it.
     """
 
     address: str
     worker: WorkerReport | None = None
     slowness: float = 1.0
+    incarnation: str = ""
 
 
 class AgentRegistration:
@@ -78,6 +81,8 @@
     :param on_record_found: called with the stored record while this process
         holds no lease, so that it can use what a previous process stored.
     :param on_registered: called with the version of the key after a write.
+    :param on_replaced: called when a later process of this agent has written
+        the record. This one does not write it as long as it is there.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         make_record: Callable[[], AgentRecord],
         on_record_found: Callable[[AgentRecord], None],
         on_registered: Callable[[int], None],
+        on_replaced: Callable[[], None],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -95,6 +101,8 @@
         self._make_record = make_record
         self._on_record_found = on_record_found
         self._on_registered = on_registered
+        self._on_replaced = on_replaced
+        self._replaced = False
         self._lease = ""
         self._version = 0
         self._stale_reads_from = 0.0
@@ -106,6 +114,10 @@
         self._version_outdated = True
         self._wake.set()
 
+    def record_changed(self) -> None:
+        """Write the record at once if it differs from the stored one."""
+        self._wake.set()
+
     async def run(self) -> None:
         """Keep the record in the store until cancelled.
 
@@ -150,6 +162,10 @@
         if await self._is_unchanged(value):
             return
         item = await self._store.get(self._key, self._deadline())
+        if item is not None and self._is_of_later_process(item):
+            self._stand_back()
+            return
+        self._replaced = False
         if not self._lease and item is not None:
             self._pass_on_stored_record(item.value)
             value = msgspec.json.encode(self._make_record())
@@ -181,6 +197,29 @@
             self._stale_reads_from = self._clock.now() + STALENESS_S
             self._on_registered(written.version)
 
+    def _stand_back(self) -> None:
+        """Leave the record to the later process that has written it."""
+        if not self._replaced:
+            LOGGER.warning("agent-replaced", extra={"key": self._key})
+            self._on_replaced()
+        self._replaced = True
+        self._lease = ""
+
+    def _is_of_later_process(self, item: KeyValue) -> bool:
+        """Whether another process has written the record after this one.
+
+        A process that was frozen for long may wake when another one has taken
+        its place.
+        """
+        if not self._version or item.version <= self._version:
+            return False
+        try:
+            record = decode_json(item.value, AgentRecord)
+        except msgspec.DecodeError:
+            return False
+        own = self._make_record().incarnation
+        return record.incarnation not in ("", own)
+
     async def _is_unchanged(self, value: bytes) -> bool:
         """Whether a stale read shows the record that is to be stored.
 
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -535,6 +535,7 @@
             step.gpu,
             step.expected_s,
             same_payload,
+            view.heartbeat_sent_at,
         )
         self._agents.send(view, order)
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -80,6 +80,10 @@
 MIN_STALL_LISTINGS = 3
 # A worker takes up to 50 ms to stop a run, and the order up to 120 ms.
 UNKNOWN_RUN_RETRY_S = 0.2
+# An entry has a heartbeat that is HEARTBEAT_PERIOD_S old at most, or half a
+# second more before it gives the connection up. The job of an older order may
+# have been answered otherwise meanwhile.
+ORDER_TTL_S = 0.7
 MAX_UNREPORTED_FAILURES = 100  # more runs than fit on a worker
 
 # Workers report progress in whole per cent. From 5% on, rounding changes the
@@ -612,8 +616,10 @@
             now,
         )
         session_valid = now <= session.expires_at
+        order_valid = not msg.echo or now <= msg.echo + ORDER_TTL_S
         if (
             not session_valid
+            or not order_valid
             or not self.accepting(now)
             or self._task_has_run(run)
         ):
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -82,6 +82,9 @@
     :param expected_s: estimated seconds of work at nominal speed.
     :param same_payload: whether the payload is that of the previous order on
         this connection, and ``payload`` is empty.
+    :param echo: ``sent_at`` of the agent's last heartbeat that the entry had
+        received; 0 if unknown. An order that was held up in the network or in
+        a paused process is recognised by it.
     """
 
     dispatch: int
@@ -93,6 +96,7 @@
     gpu: int
     expected_s: float
     same_payload: bool = False
+    echo: float = 0.0
 
 
 class StopRun(Message, frozen=True, tag="stop"):
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -134,6 +134,54 @@
     case.world.freeze(case.agent, 2.5)
 
 
+@fault
+def agent_runs_slowly(case: Case) -> None:
+    """Let the agent run for a fifth of the time only."""
+    agent = case.agent
+    for n in range(12):
+        case.world.after(n * 0.25, lambda: case.world.freeze(agent, 0.2))
+
+
+@fault
+def agent_freezes_shortly(case: Case) -> None:
+    case.world.freeze(case.agent, 0.4)
+
+
+@fault
+def heartbeats_of_agent_held(case: Case) -> None:
+    """Hold what the agent sends to the entry; the rest arrives."""
+    case.world.cuts.add((case.agent.name, "e0"))
+    case.world.after(0.8, case.world.heal)
+
+
+@fault
+def heartbeats_of_entry_held(case: Case) -> None:
+    case.world.cuts.add(("e0", case.agent.name))
+    case.world.after(0.8, case.world.heal)
+
+
+@fault
+def listings_late(case: Case) -> None:
+    case.world.listing_delay_s = 0.35
+    case.world.after(1.5, lambda: setattr(case.world, "listing_delay_s", 0.0))
+
+
+@fault
+def answers_of_stops_lost(case: Case) -> None:
+    case.world.stop_answers_lost = True
+    case.world.after(
+        1.0, lambda: setattr(case.world, "stop_answers_lost", False)
+    )
+
+
+@fault
+def agent_replaced_while_frozen(case: Case) -> None:
+    """Freeze an agent and start another process of it beside its worker."""
+    case.world.freeze(case.agent, 2.5)
+    agent = case.agent
+    case.world.after(1.0, lambda: case.world.replace_agent(agent))
+
+
 @fault
 def link_cut_shortly(case: Case) -> None:
     case.world.cut("e0", case.agent.name)
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -355,3 +355,19 @@
     agent.listing_received(RunListing(1, rows, ()), later, later)
     again = [e for e in agent.turn(later) if isinstance(e, WithdrawRun)]
     assert len(again) == 3
+
+
+@pytest.mark.parametrize(
+    ("echo", "ordered"),
+    [(0.0, True), (NOW - 0.3, True), (NOW - 0.8, False)],
+    ids=["unknown", "recent", "held up"],
+)
+def test_an_order_that_was_held_up_starts_nothing(echo, ordered):
+    """Its job may have been answered, or run elsewhere, in the meantime."""
+    agent = make_agent("e")
+    order = StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5, echo=echo)
+    agent.handle(0, order, NOW)
+    effects = agent.turn(NOW)
+    assert any(isinstance(e, PlaceOrder) for e in effects) is ordered
+    ends = [RunEnd.UNAVAILABLE] if not ordered else []
+    assert _run_ends(effects) == ends
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -89,6 +89,7 @@
     :param frozen_until: before this time it runs but does nothing.
     :param generation: rises when the process ends, so that actions planned
         for a previous process are dropped.
+    :param replaced: whether a later process of the agent has been started.
     :param events: logged decisions with their times.
     """
 
@@ -97,6 +98,7 @@
     up: bool = True
     frozen_until: float = 0.0
     generation: int = 0
+    replaced: bool = False
     events: list[tuple[float, str, dict[str, Any]]] = field(
         default_factory=list
     )
@@ -126,6 +128,9 @@
     - ``unanswered_order_delay``: for the name of a task, the seconds after
       which the worker carries out an order to start it, while the agent gets
       no answer; None for an order that arrives and is answered at once;
+    - ``listing_delay_s``: seconds by which run listings arrive late;
+    - ``stop_answers_lost``: whether workers carry out orders to stop a run
+      and their answers are lost;
     - ``leases_count_from_arrival``: whether a worker grants each order a
       whole lease from its arrival, however late that is.
 
@@ -142,6 +147,8 @@
         self.sent: Counter[type] = Counter()
         self.addresses: dict[str, AgentAddress] = {}
         self.leases_count_from_arrival = False
+        self.listing_delay_s = 0.0
+        self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
         self.refused: dict[str, Outcome] = {}
@@ -247,6 +254,15 @@
         node.core = self._new_agent(node.name)
         self._start_agent(node)
 
+    def replace_agent(self, node: Node) -> None:
+        """Start another process of an agent while the first one goes on."""
+        if self.agents[node.name] is not node or not node.up:
+            return
+        later = Node(node.name, self._new_agent(node.name))
+        self.agents[node.name] = later
+        self._start_agent(later)
+        node.replaced = True
+
     def restart_all(self, agents_after_s: float) -> None:
         """Kill all processes, restart entries at once and agents later."""
         for node in [*self.entries.values(), *self.agents.values()]:
@@ -330,7 +346,7 @@
         """Give an agent a higher fencing token, as its store would."""
 
         def write() -> None:
-            if self._is_alive(node, generation):
+            if self._is_alive(node, generation) and not node.replaced:
                 node.core.token = next(self.tokens)
 
         self.after(STORE_DELAY_S, write)
@@ -439,6 +455,12 @@
         seen = core.acked_end
 
         def answer(listing: Any) -> None:
+            if self.listing_delay_s:
+                self.after(self.listing_delay_s, lambda: deliver(listing))
+            else:
+                deliver(listing)
+
+        def deliver(listing: Any) -> None:
             if self._is_alive(node, generation) and worker.up:
                 self._run_in(
                     node,
@@ -518,6 +540,11 @@
             if not self._is_alive(node, generation):
                 return
             worker.stop(order.task, order.run, core.token, self.now)
+            if self.stop_answers_lost:
+                self.after(
+                    0.2, lambda: self._withdraw(node, order, generation)
+                )
+                return
             self._run_in(node, lambda: core.stop_answered(order.key, self.now))
             # The process lists the runs at once: only that shows whether the
             # run had started.
--- a/tests/adapter/test_registration.py
+++ b/tests/adapter/test_registration.py
@@ -29,8 +29,11 @@
 class Agent:
     """An agent with a registration, which records what that passes to it."""
 
-    def __init__(self, store: PlatformStore) -> None:
-        self.record = AgentRecord("10.0.0.1:1", slowness=1.5)
+    def __init__(self, store: PlatformStore, incarnation: str = "i1") -> None:
+        self.record = AgentRecord(
+            "10.0.0.1:1", slowness=1.5, incarnation=incarnation
+        )
+        self.replaced = 0
         self.versions: list[int] = []
         self.restored: list[AgentRecord] = []
         self.registration = AgentRegistration(
@@ -40,8 +43,12 @@
             lambda: self.record,
             self.restored.append,
             self.versions.append,
+            self._on_replaced,
         )
 
+    def _on_replaced(self) -> None:
+        self.replaced += 1
+
     async def renew(self) -> None:
         await self.registration._renew()
 
@@ -150,3 +157,41 @@
             await asyncio.sleep(0.001)
     task.cancel()
     assert agent.versions[1] > agent.versions[0]
+
+
+async def test_an_agent_stands_back_for_a_later_process(store, store_server):
+    """It may wake from a freeze when another one has taken its place.
+
+    If both kept writing the record, their tokens would rise in turns and each
+    would have its orders refused. It takes over again once the other one has
+    gone.
+    """
+    stand_in, _ = store_server
+    earlier, later = Agent(store, "i1"), Agent(store, "i2")
+    await earlier.renew()
+    await later.renew()
+    for _ in range(3):
+        await earlier.renew()
+    assert earlier.replaced == 1
+    assert len(earlier.versions) == 1
+    assert not later.replaced
+    await expire_lease(store, stand_in)
+    await earlier.renew()
+    assert earlier.versions[-1] > later.versions[-1]
+
+
+async def test_a_changed_record_is_written_at_once(monkeypatch, store):
+    """That a worker drains must be known to the next process of its agent."""
+    monkeypatch.setattr(registry, "RENEW_PERIOD_S", 1000.0)
+    agent = Agent(store)
+    task = asyncio.create_task(agent.registration.run())
+    async with asyncio.timeout(10):
+        while not agent.versions:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        agent.record = AgentRecord("10.0.0.2:2", incarnation="i1")
+        agent.registration.record_changed()
+        while len(agent.versions) < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+    task.cancel()
+    stored = await store.get(KEY, deadline_in())
+    assert b"10.0.0.2:2" in stored.value
