Remove the factor of estimated waits; drop orders that are stopped unsent

Hypothesis: the factor (1 to 10, raised by each late start) refuses jobs while workers are free, as one entry learns from its own late starts. The simulation releases what a cut has held as one batch, as the bytes of a connection arrive.

--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -19,12 +19,7 @@
 from briarford.requests.waiting import WaitingTasks
 from briarford.routes import Route
 
-__all__ = [
-    "Admission",
-    "EstimateCorrection",
-    "StartRate",
-    "estimate_wait_s",
-]
+__all__ = ["Admission", "StartRate", "estimate_wait_s"]
 
 # An agent process is up half a second after its VM, and attached soon after.
 ATTACH_S = 1.0
@@ -35,36 +30,6 @@
 MAX_RETRY_AFTER_S = 5.0  # bursts in the deployments last about 4 s
 
 
-# Estimates are too low because they leave out more urgent jobs that arrive
-# later. Each late start raises the correction and each start in time lowers
-# it; with these factors it is stable when one task in ten starts late.
-CORRECTION_UP = 1.15
-CORRECTION_DOWN = 0.985
-MAX_CORRECTION = 10.0
-
-
-class EstimateCorrection:
-    """The factor by which estimates of waits are multiplied.
-
-    It follows how often tasks have started late in spite of the estimate.
-    """
-
-    __slots__ = ("factor",)
-
-    def __init__(self) -> None:
-        self.factor = 1.0
-
-    def update(self, *, late: bool) -> None:
-        """Adjust the factor after a task was placed.
-
-        :param late: whether the task can no longer end in time.
-        """
-        if late:
-            self.factor = min(MAX_CORRECTION, self.factor * CORRECTION_UP)
-        else:
-            self.factor = max(1.0, self.factor * CORRECTION_DOWN)
-
-
 class StartRate:
     """Measures how much work is started per second.
 
@@ -128,7 +93,6 @@
         self._entry = entry
         self._waiting = waiting
         self._start_rate = StartRate()
-        self._correction = EstimateCorrection()
         self._started_at = 0.0
         self._last_usable_at: dict[str, float] = {}
         self._usable_since: dict[str, float] = {}
@@ -166,7 +130,7 @@
                 "the entry stops; another one takes the request",
                 now + MIN_RETRY_AFTER_S,
             )
-        if not usable or self.is_attaching(route.service, now):
+        if not usable or self._is_attaching(route.service, now):
             return None
         if utilisation(usable) < REFUSAL_UTILISATION:
             return None
@@ -189,7 +153,7 @@
             self._usable_since[service] = now
         self._last_usable_at[service] = now
 
-    def is_attaching(self, service: str, now: float) -> bool:
+    def _is_attaching(self, service: str, now: float) -> bool:
         """Whether waits of a service cannot be estimated yet.
 
         That is so for ``ATTACH_S`` after its workers became usable, as the
@@ -218,9 +182,7 @@
         if ahead <= 0.0:
             return None
         own = sum(s.count * s.work for s in request.steps)
-        wait_s = self._correction.factor * estimate_wait_s(
-            ahead + own, self._start_rate.per_s(now)
-        )
+        wait_s = estimate_wait_s(ahead + own, self._start_rate.per_s(now))
         if wait_s <= slack_s:
             return None
         retry_in_s = min(
@@ -250,21 +212,12 @@
         """Return a refusal by this entry."""
         return Refused(reason, detail, Step.ADMIT, self._entry, retry_at)
 
-    def record_start(
-        self, work: float, late: bool, estimated: bool, now: float
-    ) -> None:
-        """Update the correction and the rate of starts after a placement.
+    def record_start(self, work: float, now: float) -> None:
+        """Update the rate of starts after a placement.
 
         :param work: expected work of the task.
-        :param late: whether it can no longer end in time.
-        :param estimated: whether the wait of its job could be estimated on
-            admission, and this is the first run of the task; the correction
-            learns only from these, as a task that runs again is late because
-            of a fault.
         :param now: Unix time in seconds.
         """
-        if estimated:
-            self._correction.update(late=late)
         self._start_rate.add(work, now)
 
     def revert_start(self, work: float) -> None:
@@ -274,8 +227,3 @@
     def started_work_per_s(self, now: float) -> float:
         """Return the work started per second in the last window."""
         return self._start_rate.per_s(now)
-
-    @property
-    def correction(self) -> float:
-        """The factor by which estimates of waits are multiplied."""
-        return self._correction.factor
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -141,7 +141,6 @@
             self._log_refusal(request, route, refused, usable, now)
             return refused
         job = make_job(request, route, now)
-        job.estimated = not self._admission.is_attaching(route.service, now)
         self._jobs[request.job] = job
         self.counts["accepted"] += 1
         self._log(
@@ -486,7 +485,6 @@
         Run numbers follow the clock in milliseconds, so that they rise even
         if the job is repeated at another entry.
         """
-        is_retry = bool(task.last_run)
         self._last_dispatch += 1
         step = task.spec
         task.phase = TaskPhase.PLACED
@@ -505,12 +503,7 @@
         view.add(dispatch)
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
         self._unended_runs[task.name] += 1
-        self._admission.record_start(
-            task.spec.work,
-            now > task.start_by,
-            task.job.estimated and not is_retry,
-            now,
-        )
+        self._admission.record_start(task.spec.work, now)
         task.job.started = True
         status = view.status
         self._log(
@@ -639,7 +632,6 @@
             "agents_known": len(self._agents),
             "agents_attached": sum(v.attached for v in views),
             "agents_usable": sum(v.usable(now) for v in views),
-            "wait_caution": self._admission.correction,
         }
 
     def _emit(self, effect: EntryEffect) -> None:
@@ -665,7 +657,6 @@
                 self._admission.started_work_per_s(now) / 1000, 1
             ),
             spare_cores=round(sum(v.spare_cpu for v in usable) / 1000, 1),
-            correction=round(self._admission.correction, 2),
         )
 
     def _log(self, action: str, **fields: Any) -> None:
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -116,8 +116,6 @@
         the objective of its route.
     :param tasks: the tasks of all its steps.
     :param started: whether a run of any of its tasks was ever ordered.
-    :param estimated: whether admission could estimate its wait; False if no
-        worker of its service was usable yet, or only for a short time.
     :param ended: whether it has got its outcome.
     :param open_tasks: number of tasks that are not done, by step.
     """
@@ -128,7 +126,6 @@
     objective_at: float
     tasks: list[Task] = msgspec.field(default_factory=list)
     started: bool = False
-    estimated: bool = True
     ended: bool = False
     open_tasks: list[int] = msgspec.field(default_factory=list)
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -592,7 +592,7 @@
                 self._start(session, msg, now)
             case StopRun():
                 run = session.runs.get(msg.dispatch)
-                if run is not None:
+                if run is not None and not self._drop_order(run, now):
                     self._stop(run, RunEnd.STOPPED)
             case Demand():
                 session.demand = msg if msg.cpu else None
@@ -682,6 +682,19 @@
         run.end = end
         self._effects.append(WithdrawRun(run.key, run.task, run.run))
 
+    def _drop_order(self, run: Run, now: float) -> bool:
+        """End a run at once if its order has not been sent to the worker yet.
+
+        An order and the message that stops its run may arrive together, after
+        a cut.
+        """
+        for effect in self._effects:
+            if isinstance(effect, PlaceOrder) and effect.key == run.key:
+                self._effects.remove(effect)
+                self._finish(run, RunEnd.STOPPED, now)
+                return True
+        return False
+
     def _stop_session_runs(self, session: Session, reason: str) -> None:
         open_runs = [
             r
--- a/packages/briarford/tests/fleet/ablation.py
+++ b/packages/briarford/tests/fleet/ablation.py
@@ -83,12 +83,6 @@
     return []
 
 
-@switch("factor of the estimated wait")
-def _no_correction() -> list[Any]:
-    path = "briarford.requests.admission.EstimateCorrection.update"
-    return [mock.patch(path, lambda self, *, late: None)]
-
-
 @switch("no refusal below a utilisation")
 def _always_estimate() -> list[Any]:
     return [mock.patch("briarford.requests.admission.REFUSAL_UTILISATION", 0)]
--- a/packages/briarford/tests/fleet/test_admission.py
+++ b/packages/briarford/tests/fleet/test_admission.py
@@ -51,7 +51,7 @@
         admission.check(
             request("j"), ROUTE, [agent_view(CPU_MILLIS)], NOW - 15.0 + n / 2
         )
-    admission.record_start(drain_core_s * 1000, False, False, NOW - 0.5)
+    admission.record_start(drain_core_s * 1000, NOW - 0.5)
     return admission
 
 
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -104,18 +104,21 @@
     )
 
 
+_Held = tuple[Node, Callable[[], None]]
+
+
 @dataclass
 class Link:
     """A connection of an entry to an agent.
 
-    :param held: deliveries that wait for the end of a network cut.
+    :param held: receivers and deliveries that wait for the end of a cut.
     """
 
     number: int
     entry: Node
     agent: Node
     open: bool = True
-    held: list[Callable[[], None]] = field(default_factory=list)
+    held: list[_Held] = field(default_factory=list)
 
 
 class World:
@@ -285,8 +288,20 @@
         self.cuts.clear()
         for link in self.links.values():
             held, link.held = link.held, []
-            for deliver in held:
-                self.after(DELAY_S, deliver)
+            if held:
+                self.after(DELAY_S, lambda k=link, h=held: self._release(k, h))
+
+    def _release(self, link: Link, held: list[_Held]) -> None:
+        """Deliver messages that a cut has held, each way in one turn."""
+        for receiver in (link.entry, link.agent):
+            messages = [receive for to, receive in held if to is receiver]
+
+            def receive_all(messages: list[Any] = messages) -> None:
+                for receive in messages:
+                    receive()
+
+            if messages and link.open:
+                self._run_in(receiver, receive_all)
 
     def _is_alive(self, node: Node, generation: int) -> bool:
         return node.up and node.generation == generation
@@ -414,7 +429,7 @@
             self._run_in(receiver, receive)
 
         if (sender.name, receiver.name) in self.cuts:
-            link.held.append(deliver)
+            link.held.append((receiver, receive))
         else:
             self.after(DELAY_S, deliver)
 
