--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -351,8 +351,11 @@
         self.address = f"{host}:{port}"
         self._sweeper = asyncio.create_task(self._close_idle())
 
-    async def stop(self) -> None:
-        """Stop listening, and wait a short time for requests in flight."""
+    async def stop(self, within_s: float = STOP_TIMEOUT_S) -> None:
+        """Stop listening, and wait a short time for requests in flight.
+
+        :param within_s: seconds after which connections are cut.
+        """
         if self._server is None:
             return
         self._server.close()
@@ -361,7 +364,7 @@
         for connection in list(self._connections):
             connection.finish()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(STOP_TIMEOUT_S):
+            async with asyncio.timeout(within_s):
                 await self._connections.wait_until_empty()
         for connection in list(self._connections):
             connection.abort()
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -175,3 +175,12 @@
     async with connected() as (_, _, reader, writer):
         writer.write(request(body=b"abc")[:20])
         assert await reader.read() == b""
+
+
+async def test_a_stop_cuts_what_is_not_answered_by_its_deadline():
+    """A process that waits longer is killed by the platform."""
+    async with connected() as (handler, listener, _, writer):
+        writer.write(request(path="/wait"))
+        await handler.started.wait()
+        await listener.stop(within_s=0.01)
+        await handler.cancelled.wait()
