Dial an agent that is gone less often

Change: after three seconds of failures once a second, until the registry lists a new process of the agent.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -329,5 +329,7 @@
             continue
         service = record.worker.service if record.worker is not None else ""
         name = item.key.removeprefix(AGENTS_PREFIX)
-        addresses[name] = AgentAddress(record.address, service)
+        addresses[name] = AgentAddress(
+            record.address, service, record.incarnation
+        )
     return addresses
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -52,6 +52,9 @@
         :class:`Attach`.
     :param dialing: whether a connection is being opened.
     :param dial_at: no connection is opened before this time.
+    :param failing_since: when the first of the attempts to connect failed
+        that have failed since the last connection; 0 if none has.
+    :param listed_incarnation: of the agent process that the registry lists.
     :param dialing_since: when the present series of attempts to connect
         began.
     :param surplus_since: since when the connection has not been needed; 0
@@ -93,6 +96,8 @@
     connection: int = 0
     dialing: bool = False
     dial_at: float = 0.0
+    failing_since: float = 0.0
+    listed_incarnation: str = ""
     dialing_since: float = 0.0
     surplus_since: float = 0.0
     attached: bool = False
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -34,6 +34,10 @@
 
 SILENCE_S = 0.5  # after two missed heartbeats a new connection is opened
 REDIAL_DELAY_S = 0.1  # a restarted process listens within half a second
+# After this time of failed attempts the agent is more likely to be gone than
+# to restart, and is dialed less often until the registry lists a new process.
+RESTART_S = 3.0
+GONE_REDIAL_DELAY_S = 1.0
 # When an agent process has ended, the worker stops the runs that it ordered
 # once the lease has expired, on a clock that may be 2% slow.
 LEASE_EXPIRY_S = LEASE_S * 1.02 + 0.1
@@ -158,6 +162,10 @@
                 self._log("agent-moved", agent=name, address=listed.address)
                 self.close(view)
                 view.address = listed.address
+            if view.listed_incarnation != listed.incarnation:
+                view.listed_incarnation = listed.incarnation
+                view.failing_since = 0.0
+                view.dial_at = min(view.dial_at, now)
             view.registered_service = listed.service
         for name, view in self._views.items():
             view.listed = name in directory
@@ -182,6 +190,7 @@
         self.close(view)
         self._last_connection += 1
         view.dialing = False
+        view.failing_since = 0.0
         view.link = link
         view.connection = self._last_connection
         view.attached = False
@@ -210,7 +219,13 @@
             return
         if link is None:
             view.dialing = False
-            view.dial_at = now + REDIAL_DELAY_S
+            view.failing_since = view.failing_since or now
+            failing_s = now - view.failing_since
+            view.dial_at = now + (
+                REDIAL_DELAY_S
+                if failing_s < RESTART_S
+                else GONE_REDIAL_DELAY_S
+            )
         elif view.link == link:
             self._log("agent-disconnected", agent=agent)
             self.close(view)
--- a/packages/briarford/src/briarford/runs/directory.py
+++ b/packages/briarford/src/briarford/runs/directory.py
@@ -13,7 +13,9 @@
     :param address: host and port.
     :param service: the service that its worker runs; empty while that is
         not known yet.
+    :param incarnation: of the agent's process; empty if not known.
     """
 
     address: str
     service: str = ""
+    incarnation: str = ""
--- a/packages/briarford/tests/fleet/test_attachments.py
+++ b/packages/briarford/tests/fleet/test_attachments.py
@@ -8,7 +8,7 @@
 from briarford.requests.attachments import BASE_CONNECTIONS, MAX_CONNECTIONS
 from briarford.runs import AgentHeartbeat, EntryHeartbeat
 from fleet.worker import StandInWorker
-from fleet.world import World, request
+from fleet.world import LIST_PERIOD_S, World, request
 
 MANY = 60
 DECREASE_AFTER_S = 0.5
@@ -136,3 +136,21 @@
     world.submit(world.entries["e0"], req)
     world.run(1.5)
     assert "j" in world.outcomes, core.state(world.now)
+
+
+def test_an_agent_that_is_gone_is_dialed_ever_less():
+    """Guards against dialing a dead agent many times a second for good.
+
+    On the users' bench one dead agent was dialed 35 times a second by four
+    entries. One that restarts is found again within its usual second.
+    """
+    world = make_world(3)
+    gone = world.agents["a0"]
+    world.kill(gone)
+    world.run(attachments.RESTART_S + 1.0)
+    world.dials.clear()
+    world.run(10.0)
+    assert 1 <= world.dials["a0"] <= 10.0 / attachments.GONE_REDIAL_DELAY_S
+    world.restart_agent(gone)
+    world.run(LIST_PERIOD_S + 0.2)
+    assert "a0" in attached(world)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -148,6 +148,7 @@
         self._numbers = itertools.count(1)
         self.links: dict[int, Link] = {}
         self.sent: Counter[type] = Counter()
+        self.dials: Counter[str] = Counter()  # by name of the agent
         self.addresses: dict[str, AgentAddress] = {}
         self.leases_count_from_arrival = False
         self.listing_delay_s = 0.0
@@ -221,7 +222,7 @@
         for name, node in self.agents.items():
             worker = node.core.worker
             service = worker.service if worker is not None else ""
-            listed = AgentAddress(f"{name}:1", service)
+            listed = AgentAddress(f"{name}:1", service, node.core.incarnation)
             directory[name] = self.addresses.get(name, listed)
         if self.now >= entry.frozen_until:
             entry.core.agents_listed(directory, self.now)
@@ -371,6 +372,7 @@
     def _dial(self, entry: Node, agent: Node) -> None:
         """Open a connection, or report a failure after a time-out."""
         generation = entry.generation
+        self.dials[agent.name] += 1
         if (entry.name, agent.name) in self.cuts or not agent.up:
             refused = agent.name
 
