--- /dev/null
+++ b/packages/briarford-daemon/tests/test_agent_process.py
@@ -0,0 +1,157 @@
+"""What an agent process does at restarts of its worker and of itself."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import msgspec.structs
+import pytest
+
+from briarford.runs import (
+    Attach,
+    Capacity,
+    EntryHeartbeat,
+    OrderResult,
+    RunListing,
+    StartRun,
+    WorkerReport,
+)
+from briarford_daemon.fleet.agent import FleetAgent
+from briarford_daemon.fleet.metrics import FleetMetrics
+from briarford_daemon.fleet.settings import FleetSettings
+
+LIMIT_S = 10.0
+TOKEN = 7
+REPORT = WorkerReport(
+    "w", 1, "desk", "127.0.0.1:1", "z", Capacity(8000, 100, 0), (), False, 0, 1
+)
+
+
+class FakeStore:
+    """A store that does not answer; the agent is given its token."""
+
+    async def get(self, key, deadline):
+        await asyncio.Event().wait()
+
+
+class FakeWorker:
+    """Starts and lists runs, and keeps the tokens of all calls."""
+
+    def __init__(self) -> None:
+        self.tokens: list[int] = []
+        self.calls: list[str] = []
+        self.born_ms = 1
+
+    def _record(self, call: str, token: int) -> None:
+        self.calls.append(call)
+        self.tokens.append(token)
+
+    async def start_run(self, worker, order, token, lease_s):
+        self._record("start", token)
+        return OrderResult.STARTED
+
+    async def stop_run(self, worker, order, token):
+        self._record("stop", token)
+        return True
+
+    async def list_runs(self, worker, acked_end, token, wait_s, lease_s):
+        self._record("list", token)
+        await asyncio.sleep(0.002)
+        return RunListing(self.born_ms, (), ())
+
+    async def close(self) -> None: ...
+
+
+@asynccontextmanager
+async def running(worker: FakeWorker):
+    cfg = FleetSettings(
+        name="a", zone="z", ip="127.0.0.1", rpc_port=0, store="", http=""
+    )
+    agent = FleetAgent(cfg, FakeStore(), worker, FleetMetrics("a", {}))
+    await agent.start()
+    agent._on_registered(TOKEN)
+    agent.worker_reported(REPORT)
+    await until(lambda: agent.core.reconciled)
+    try:
+        yield agent
+    finally:
+        await agent._tasks.cancel()
+        agent._driver.close()
+        await agent._links.stop()
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
+
+@pytest.fixture
+def record_writes(monkeypatch):
+    """Count the requests to write the record at once."""
+    written = []
+    for name in ("record_changed", "request_new_version"):
+        monkeypatch.setattr(
+            f"briarford_daemon.fleet.registry.AgentRegistration.{name}",
+            lambda self, name=name: written.append(name),
+        )
+    return written
+
+
+def draining(agent: FleetAgent) -> None:
+    report = msgspec.structs.replace(REPORT, draining=True, sequence=2)
+    agent.worker_reported(report)
+    agent.worker_reported(msgspec.structs.replace(report, sequence=3))
+
+
+def leaving(agent: FleetAgent) -> None:
+    agent.worker_left("w")
+
+
+@pytest.mark.parametrize("change", [draining, leaving])
+async def test_the_end_of_a_worker_is_stored_at_once(record_writes, change):
+    """The next process of the agent must not use a worker that has left.
+
+    It restores the worker from the record, which would otherwise be written
+    with the next renewal, up to 1.5 s later.
+    """
+    async with running(FakeWorker()) as agent:
+        change(agent)
+        assert record_writes == ["record_changed"]
+
+
+async def test_the_token_is_raised_when_the_worker_has_restarted(
+    record_writes,
+):
+    """The restarted worker would carry out late orders with the old one."""
+    worker = FakeWorker()
+    async with running(worker) as agent:
+        worker.born_ms = 2
+        await until(lambda: "request_new_version" in record_writes)
+        agent._on_registered(TOKEN + 5)
+        await until(lambda: worker.tokens[-1] == TOKEN + 5)
+        agent._on_registered(TOKEN + 9)  # written for another reason
+        seen = len(worker.tokens)
+        await until(lambda: len(worker.tokens) > seen + 3)
+    assert set(worker.tokens) == {TOKEN, TOKEN + 5}
+
+
+async def test_a_replaced_process_calls_the_worker_no_more():
+    """Two processes of one agent must not both give orders."""
+    worker = FakeWorker()
+    async with running(worker) as agent:
+        now = agent._clock.now()
+        agent._on_attach(1, Attach("e", "i", 1, now))
+        agent._on_messages(1, [EntryHeartbeat(now, 0)])
+        agent._on_replaced()
+        await asyncio.sleep(0.01)  # a call in flight
+        worker.calls.clear()
+        order = StartRun(1, "j.0.0.0", 1, "p", 1000, 1, 0, 0.5)
+        agent._on_messages(1, [order])
+        await until(lambda: agent.core.counts["unavailable"])
+        await asyncio.sleep(0.3)  # longer than between two listings
+        assert worker.calls == []
+        agent._on_registered(TOKEN + 5)
+        await until(lambda: worker.calls)
+        assert set(worker.tokens[-1:]) == {TOKEN + 5}
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -9,6 +9,7 @@
 - BUDGET: no task has more failed runs, of those acknowledged to the worker,
   than its route allows;
 - LOST: each job is answered if its client waits and a worker could run it;
+- REFUSED: a job that was refused as not run has had no run;
 - UNASKED: no run belongs to a job that nobody submitted, or starts long
   after the client of its job has left.
 
@@ -23,6 +24,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 
+from briarford.outcomes import Refused
 from briarford.requests import JobRequest
 from fleet.worker import Interval, StandInWorker
 from fleet.world import ROUTE, World, request
@@ -305,6 +307,10 @@
         client_left_at = case.client_left_at.get(job, float("inf"))
         if run.start > client_left_at + MAX_CANCEL_S and not case.repeated:
             yield "UNASKED: a start after the client has left"
+        if isinstance(world.refused.get(job), Refused) or isinstance(
+            world.outcomes.get(job, (0.0, None))[1], Refused
+        ):
+            yield "REFUSED: a run of a job that was refused"
     if any(n > ROUTE.max_attempts for n in failed.values()):
         yield "BUDGET: too many failed runs"
     if not any(a.up for a in world.agents.values()):
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -12,9 +12,12 @@
 import pytest
 
 from briarford.requests import attachments, dispatcher
+from briarford.requests.waiting import WaitingTasks
 from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
-from fleet.explore import FAULTS, MOMENTS_S, pairs, play
+from fleet import explore
+from fleet.explore import FAULTS, MOMENTS_S, REPEAT_DELAY_S, pairs, play
+from fleet.world import World
 
 SAMPLE = 60
 SEED = 20261204
@@ -87,6 +90,26 @@
     )
 
 
+def plant_untrue_refusals(monkeypatch):
+    """Plant: an entry refuses late jobs although they have started."""
+    late = WaitingTasks.late
+
+    def late_and_unstarted(self, now):
+        for task in late(self, now):
+            task.job.started = False
+        return late(self, now)
+
+    monkeypatch.setattr(WaitingTasks, "late", late_and_unstarted)
+    monkeypatch.setattr(
+        dispatcher, "_ends_after_expiry", lambda task, now: True
+    )
+
+
+def plant_tokens_that_stay(monkeypatch):
+    """Plant: an agent keeps its token when its worker has restarted."""
+    monkeypatch.setattr(World, "_raise_token", lambda *args: None)
+
+
 def plant_entry_that_keeps_lost_agents(monkeypatch):
     """Plant: an entry never counts the runs of a lost agent as ended."""
     monkeypatch.setattr(attachments, "AGENT_LOST_S", 1e9)
@@ -111,6 +134,19 @@
             [("agent_killed", 0.05), ("all_workers_fail", 0.7)],
         ),
         (plant_entry_that_keeps_lost_agents, "LOST", [("agent_is_gone", 0.2)]),
+        (
+            plant_untrue_refusals,
+            "REFUSED",
+            [("worker_crashes", 0.2), ("agent_is_gone", 0.39)],
+        ),
+        (
+            plant_tokens_that_stay,
+            "TWICE",
+            [
+                ("orders_carried_out_late", 0.0005),
+                ("worker_boots_at_once", 0.2),
+            ],
+        ),
         (
             plant_early_end_on_restart,
             "TWICE",
@@ -125,6 +161,30 @@
     assert any(found.startswith(rule) for found in play(*steps))
 
 
+@pytest.mark.parametrize("seconds", [0.5, 0.8, 1.2, 2.0, 5.0, 10.0])
+@pytest.mark.parametrize("moment", MOMENTS_S)
+@pytest.mark.parametrize("paused", ["entry", "agent", "both"])
+def test_a_pause_of_any_length_breaks_no_rule(
+    monkeypatch, paused, moment, seconds
+):
+    """A paused process acts on nothing that has run out meanwhile.
+
+    Its session, its lease at the worker, and orders that it had received.
+    """
+
+    def pause(case) -> None:
+        if paused != "agent":
+            case.world.freeze(case.entry, seconds)
+            case.world.after(REPEAT_DELAY_S, case.repeat_job)
+            case.world.client_leaves(case.entry, "j")
+        if paused != "entry":
+            case.world.freeze(case.agent, seconds)
+
+    monkeypatch.setitem(FAULTS, "pause", pause)
+    monkeypatch.setattr(explore, "SIMULATED_S", 20.0)
+    assert play(("pause", moment), ("more_requests_come", moment)) == []
+
+
 KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
 
 
