Correct estimates of work by what the runs of their route show

Hypothesis: under load the estimates' error (0.41 nats) decides the order of waiting, the workers and the refusals wrongly. Change: an entry learns for each route how much of an estimate's deviation from the mean is real, by regression on the first run of each job, and moves estimates towards the mean accordingly.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -22,6 +22,7 @@
     EntryEvent,
     JobEnded,
 )
+from briarford.requests.estimates import EstimateModel
 from briarford.requests.job import (
     Job,
     JobRequest,
@@ -100,6 +101,7 @@
         self._answered: dict[str, tuple[float, Outcome]] = {}
         self._waiting = WaitingTasks()
         self._admission = Admission(name, self._waiting)
+        self._estimates = EstimateModel()
         # Number of runs per task name that may not have ended.
         self._unended_runs: Counter[str] = Counter()
         # Whether an agent may hold a demand of this entry or have reserved
@@ -136,11 +138,14 @@
         usable = [
             v for v in self._agents.of_service(route.service) if v.usable(now)
         ]
+        estimates_s = tuple(s.expected_s for s in request.steps)
+        request = self._estimates.correct(request, route.name)
         refused = self._admission.check(request, route, usable, now)
         if refused is not None:
             self._log_refusal(request, route, refused, usable, now)
             return refused
         job = make_job(request, route, now)
+        job.estimates_s = estimates_s
         self._jobs[request.job] = job
         self.counts["accepted"] += 1
         self._log(
@@ -305,8 +310,26 @@
             return
         view.last_ended_number = msg.number
         dispatch = view.remove(msg.dispatch)
-        if dispatch is not None:
-            self._finish_run(view, dispatch, msg.how, now)
+        if dispatch is None:
+            return
+        if msg.how is RunEnd.DONE:
+            self._learn_work(view, dispatch.task, msg.ran_s)
+        self._finish_run(view, dispatch, msg.how, now)
+
+    def _learn_work(self, view: AgentView, task: Task, ran_s: float) -> None:
+        """Learn from the first run of a job how accurate its estimate was.
+
+        The tasks of a job share the error of one estimate.
+        """
+        job, status = task.job, view.status
+        if job.observed or status is None:
+            return
+        job.observed = True
+        self._estimates.observe(
+            job.route.name,
+            job.estimates_s[task.step],
+            ran_s / status.slowness,
+        )
 
     def _finish_run(
         self, view: AgentView, dispatch: Dispatch, how: RunEnd, now: float
@@ -526,7 +549,7 @@
             step.cpu,
             step.memory_mb,
             step.gpu,
-            step.expected_s,
+            task.job.estimates_s[task.step],
             same_payload,
             view.heartbeat_sent_at,
         )
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -118,6 +118,9 @@
     :param started: whether a run of any of its tasks was ever ordered.
     :param ended: whether it has got its outcome.
     :param open_tasks: number of tasks that are not done, by step.
+    :param estimates_s: the client's estimates, by step; the steps of
+        ``request`` have the expected work.
+    :param observed: whether one of its runs has been used to learn from.
     """
 
     request: JobRequest
@@ -128,6 +131,8 @@
     started: bool = False
     ended: bool = False
     open_tasks: list[int] = msgspec.field(default_factory=list)
+    estimates_s: tuple[float, ...] = ()
+    observed: bool = False
 
     @property
     def expires_at(self) -> float:
--- a/packages/briarford/tests/fleet/ablation.py
+++ b/packages/briarford/tests/fleet/ablation.py
@@ -94,6 +94,12 @@
     return [mock.patch(path, lambda self, *args: None)]
 
 
+@switch("corrected estimates")
+def _stated_estimates() -> list[Any]:
+    path = "briarford.requests.estimates.EstimateModel.correct"
+    return [mock.patch(path, lambda self, request, route: request)]
+
+
 @switch("fast workers kept near full load")
 def _fastest_first() -> list[Any]:
     return [mock.patch("briarford.requests.placing.BUSY_UTILISATION", 2.0)]
