--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -24,7 +24,7 @@
     RunListing,
     WorkerReport,
 )
-from briarford.runs.agent import (
+from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
     PlaceOrder,
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -17,10 +17,17 @@
 from collections import Counter, deque
 from typing import Any
 
-import msgspec
 from msgspec.structs import replace
 
 from briarford.runs.capacity import CapacityTracker
+from briarford.runs.effects import (
+    AgentEffect,
+    AgentEvent,
+    PlaceOrder,
+    RaiseToken,
+    SendToEntry,
+    WithdrawRun,
+)
 from briarford.runs.health import FailureGuard, Slowness
 from briarford.runs.messages import (
     AgentHeartbeat,
@@ -48,17 +55,7 @@
     WorkerReport,
 )
 
-__all__ = [
-    "HEARTBEAT_PERIOD_S",
-    "LEASE_S",
-    "AgentEffect",
-    "AgentEvent",
-    "PlaceOrder",
-    "RaiseToken",
-    "RunAgent",
-    "SendToEntry",
-    "WithdrawRun",
-]
+__all__ = ["HEARTBEAT_PERIOD_S", "LEASE_S", "RunAgent"]
 
 # Four heartbeats in a row may be lost within SESSION_TTL_S.
 HEARTBEAT_PERIOD_S = 0.2
@@ -74,10 +71,6 @@
 # missed answers it gets no new runs; after five its lease is not renewed.
 UNRESPONSIVE_AFTER_S = 0.3
 STOP_RENEWAL_AFTER_S = 0.5
-# A healthy task of less than a minute advances by 1% in this time.
-STALL_TIMEOUT_S = 0.7
-# Lost answers alone must not count as missing progress.
-MIN_STALL_LISTINGS = 3
 # A worker takes up to 50 ms to stop a run, and the order up to 120 ms.
 UNKNOWN_RUN_RETRY_S = 0.2
 # An entry has a heartbeat that is HEARTBEAT_PERIOD_S old at most, or half a
@@ -94,75 +87,6 @@
 _LOST_RUN_REASONS = frozenset({"lapsed", "broken", "alone"})
 
 
-class PlaceOrder(msgspec.Struct, frozen=True):
-    """Order the worker to start a run.
-
-    The caller passes the worker's answer to :meth:`RunAgent.order_answered`.
-
-    :param key: number of the run at this agent.
-    :param task: name of the task.
-    :param run: number of the run.
-    :param payload: what the worker receives.
-    :param answer_by: Unix time in seconds at which the order counts as
-        unanswered.
-    """
-
-    key: int
-    task: str
-    run: int
-    payload: str
-    answer_by: float
-
-
-class WithdrawRun(msgspec.Struct, frozen=True):
-    """Order the worker to stop a run, and repeat the order until it answers.
-
-    The caller reports the answer to :meth:`RunAgent.stop_answered`.
-
-    :param key: number of the run at this agent; 0 for a run that the agent
-        did not order.
-    :param task: name of the task.
-    :param run: number of the run.
-    """
-
-    key: int
-    task: str
-    run: int
-
-
-class SendToEntry(msgspec.Struct, frozen=True):
-    """Send a message to an entry.
-
-    :param link: number of the connection to send it on.
-    :param message: the message.
-    """
-
-    link: int
-    message: AgentMessage
-
-
-class AgentEvent(msgspec.Struct, frozen=True):
-    """Log a decision.
-
-    :param action: name of the log event.
-    :param fields: fields of the log line.
-    """
-
-    action: str
-    fields: dict[str, Any]
-
-
-class RaiseToken(msgspec.Struct, frozen=True):
-    """Obtain a higher fencing token, and use it from then on.
-
-    The worker has restarted and remembers neither withdrawn runs nor the
-    token, so it would carry out a late order to its previous incarnation.
-    """
-
-
-AgentEffect = PlaceOrder | WithdrawRun | SendToEntry | AgentEvent | RaiseToken
-
-
 class RunAgent:
     """Controls the runs on one worker, without I/O and without a clock.
 
@@ -388,7 +312,7 @@
                 running.task, running.run, running.percent, now
             )
         for ident, run in list(self._by_task.items()):
-            if ident in listed or not _absence_means_ended(run, requested_at):
+            if ident in listed or not run.absence_means_ended(requested_at):
                 continue
             end = run.end if run.withdrawn_at else RunEnd.LOST
             self._finish(run, end, now)
@@ -467,7 +391,7 @@
             self._learn_slowness(
                 run, (now - run.started_at) * 100 / percent, now
             )
-        if run.phase is RunPhase.RUNNING and _has_stalled(run, now):
+        if run.phase is RunPhase.RUNNING and run.has_stalled(now):
             self._count_failure(run, now)
             self._stop(run, RunEnd.STALLED)
 
@@ -492,10 +416,10 @@
         """
         if not run.sampled and run.expected_s > 0:
             run.sampled = True
-            self._slowness.observe(_job_of(run), total_s / run.expected_s, now)
+            self._slowness.observe(run.job, total_s / run.expected_s, now)
 
     def _count_failure(self, run: Run, now: float) -> None:
-        if self._failure_guard.failed(_job_of(run), now):
+        if self._failure_guard.failed(run.job, now):
             self._log(
                 "worker-suspended",
                 until=round(self._failure_guard.suspended_until, 2),
@@ -886,38 +810,10 @@
         self._effects.append(AgentEvent(action, fields))
 
 
-def _job_of(run: Run) -> str:
-    """Return the job of a run, which its task is named after."""
-    return run.task.partition(".")[0]
-
-
 def _incarnation(report: WorkerReport) -> tuple[str, int]:
     return report.worker, report.born_ms
 
 
-def _has_stalled(run: Run, now: float) -> bool:
-    """Whether a run makes no progress.
-
-    Its percentage must have stayed the same in several run listings and
-    for some time.
-    """
-    idle_s = now - run.progressed_at
-    limit_s = STALL_TIMEOUT_S + run.expected_s / 100
-    return run.idle_listings >= MIN_STALL_LISTINGS and idle_s > limit_s
-
-
-def _absence_means_ended(run: Run, requested_at: float) -> bool:
-    """Whether a run that is missing in a run listing has ended.
-
-    True if the worker had confirmed its start, or the order to stop it,
-    before the listing was requested. Otherwise the order may still be on
-    its way.
-    """
-    if run.withdrawn_at:
-        return run.withdrawn_at < requested_at
-    return bool(run.started_at) and run.started_at < requested_at
-
-
 _REJECTIONS = {
     OrderResult.FENCED: RunEnd.UNAVAILABLE,
     OrderResult.OUTDATED: RunEnd.UNAVAILABLE,
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -20,6 +20,10 @@
 # A client whose connection to an entry breaks repeats its request 1.3 s later
 # at another entry. The runs of the first entry must have ended by then.
 SESSION_TTL_S = 0.9
+# A healthy task of less than a minute advances by 1% in this time.
+STALL_TIMEOUT_S = 0.7
+# Lost answers alone must not count as missing progress.
+MIN_STALL_LISTINGS = 3
 
 
 class RunPhase(enum.Enum):
@@ -77,6 +81,34 @@
             self.phase = RunPhase.RUNNING
             self.started_at = self.progressed_at = now
 
+    @property
+    def job(self) -> str:
+        """The id of its job, which the name of its task begins with."""
+        return self.task.partition(".")[0]
+
+    def has_stalled(self, now: float) -> bool:
+        """Whether it makes no progress.
+
+        Its percentage must have stayed the same in several run listings and
+        for some time.
+        """
+        idle_s = now - self.progressed_at
+        limit_s = STALL_TIMEOUT_S + self.expected_s / 100
+        return self.idle_listings >= MIN_STALL_LISTINGS and idle_s > limit_s
+
+    def absence_means_ended(self, requested_at: float) -> bool:
+        """Whether it has ended if a run listing does not contain it.
+
+        True if the worker had confirmed its start, or the order to stop it,
+        before the listing was requested. Otherwise the order may still be on
+        its way.
+
+        :param requested_at: when the listing was requested.
+        """
+        if self.withdrawn_at:
+            return self.withdrawn_at < requested_at
+        return bool(self.started_at) and self.started_at < requested_at
+
 
 class Session(msgspec.Struct, eq=False):
     """The session of one incarnation of an entry.
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -18,13 +18,8 @@
     StartRun,
     WorkerStatus,
 )
-from briarford.runs.agent import (
-    CLIENT_RETRY_DELAY_S,
-    LEASE_S,
-    PlaceOrder,
-    SendToEntry,
-    WithdrawRun,
-)
+from briarford.runs.agent import CLIENT_RETRY_DELAY_S, LEASE_S
+from briarford.runs.effects import PlaceOrder, SendToEntry, WithdrawRun
 from briarford.runs.health import Slowness
 from fleet.worker import StandInWorker
 
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -32,7 +32,7 @@
     RunAgent,
     StartRun,
 )
-from briarford.runs.agent import (
+from briarford.runs.effects import (
     AgentEvent,
     PlaceOrder,
     RaiseToken,
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -32,7 +32,7 @@
     RunAgent,
     RunListing,
 )
-from briarford.runs.agent import PlaceOrder
+from briarford.runs.effects import PlaceOrder
 from briarford_daemon.fleet.clock import BootClock
 from briarford_daemon.fleet.registry import _decode_addresses
 from briarford_daemon.fleet.settings import load_fleet_settings
