--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -17,6 +17,7 @@
 from briarford.requests.admission import Admission
 from briarford.requests.agents import AgentView, Dispatch
 from briarford.requests.attachments import LEASE_EXPIRY_S, Attachments
+from briarford.requests.demand import MAX_TASKS_TRIED, DemandReporter
 from briarford.requests.effects import (
     EntryEffect,
     EntryEvent,
@@ -33,10 +34,8 @@
 )
 from briarford.requests.placing import (
     choose_agent,
-    fastest_run_s,
     may_run_at,
     utilisation,
-    would_place_on,
 )
 from briarford.requests.waiting import WaitingTasks
 from briarford.routes import Route
@@ -46,7 +45,6 @@
     AgentMessage,
     Attached,
     CapacityOffer,
-    Demand,
     EntryHeartbeat,
     RunEnd,
     RunEnded,
@@ -65,18 +63,11 @@
 # Shorter than the agent reserves the offered capacity (``OFFER_TTL_S``), as an
 # order has to arrive while it is still reserved.
 OFFER_USE_S = 0.04
-DEMAND_PERIOD_S = 0.1
-# Added to the lateness of late tasks. It is longer than any task may wait, so
-# agents, which compare slack, rank late tasks behind all that can be in time.
-LATE_SLACK_S = 100.0
 # A turn is due five times a second, so a longer pause means that the process
 # was frozen. Messages and disconnects that arrived in the pause are handled
 # for CATCH_UP_S before any run is ordered.
 PAUSE_THRESHOLD_S = 0.6
 CATCH_UP_S = 0.15
-# In one turn at most so many waiting tasks are tried without success, and as
-# many are considered for the demand that agents are sent.
-MAX_TASKS_TRIED = 8
 KEEP_OUTCOME_S = 10.0  # clients repeat an answered request within seconds
 
 
@@ -104,9 +95,9 @@
         self._estimates = EstimateModel()
         # Number of runs per task name that may not have ended.
         self._unended_runs: Counter[str] = Counter()
-        # Whether an agent may hold a demand of this entry or have reserved
-        # capacity for it.
-        self._demand_reported = False
+        self._demand = DemandReporter(
+            self._agents, self._waiting, self._unended_runs
+        )
         self._last_dispatch = 0
         self._next_heartbeat_at = 0.0
         self._last_turn_at = 0.0
@@ -263,7 +254,7 @@
             case CapacityOffer():
                 # The offered capacity has to be used, or declined by a
                 # report of the demand in the next turn.
-                self._demand_reported = True
+                self._demand.offer_received()
                 view.offered_cpu = msg.cpu
                 view.offered_until = now + OFFER_USE_S
             case RunEnded():
@@ -445,7 +436,7 @@
             self._finish_run(view, dispatch, RunEnd.LOST, now)
         if now >= self._place_not_before:
             self._place_waiting(now)
-        self._report_demand(now)
+        self._demand.report(now)
         if now >= self._next_heartbeat_at:
             self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
             self._refuse_expired(now)
@@ -555,60 +546,6 @@
         )
         self._agents.send(view, order)
 
-    def _report_demand(self, now: float) -> None:
-        """Report to each agent the most urgent waiting task it could run.
-
-        The agent reserves freed capacity for the entry with the least slack.
-        A demand is sent again every ``DEMAND_PERIOD_S`` while it lasts, and
-        once with 0 when it has ended. It also declines what is left of a
-        capacity offer.
-        """
-        urgent = self._most_urgent(now)
-        if not urgent and not self._demand_reported:
-            return
-        self._demand_reported = bool(urgent)
-        for view in self._agents.linked():
-            if not view.attached:
-                continue
-            task = next(
-                (t for t, s in urgent if would_place_on(t, view, s, now)), None
-            )
-            cpu = task.spec.cpu if task is not None else 0
-            slack_s = _slack_s(task, now) if task is not None else 0.0
-            had_cpu = view.demand.cpu if view.demand is not None else 0
-            offered = now < view.offered_until and view.offered_cpu > 0
-            due = now >= view.demand_sent_at + DEMAND_PERIOD_S
-            if cpu == had_cpu and not (cpu and due) and not offered:
-                continue
-            view.demand = Demand(cpu, slack_s)
-            view.demand_sent_at = now
-            view.offered_cpu = 0
-            self._agents.send(view, view.demand)
-
-    def _most_urgent(self, now: float) -> list[tuple[Task, float]]:
-        """Return the most urgent waiting tasks, with expected run times.
-
-        :return: up to ``MAX_TASKS_TRIED`` tasks, each with its expected
-            seconds on the fastest usable worker.
-        """
-        urgent: list[tuple[Task, float]] = []
-        if not self._waiting:
-            return urgent
-        usable = [v for v in self._agents.linked() if v.usable(now)]
-        for task in self._waiting.by_urgency(now):
-            if self._unended_runs[task.name]:
-                continue
-            service = task.job.route.service
-            views = [
-                v
-                for v in usable
-                if v.status is not None and v.status.service == service
-            ]
-            urgent.append((task, fastest_run_s(task, views)))
-            if len(urgent) >= MAX_TASKS_TRIED:
-                break
-        return urgent
-
     def _refuse_expired(self, now: float) -> None:
         """Refuse jobs that have not started and would end after expiry."""
         late = {
@@ -700,16 +637,6 @@
     return now + task.spec.expected_s > task.job.expires_at
 
 
-def _slack_s(task: Task, now: float) -> float:
-    """Return the slack of a task in seconds, as agents compare it.
-
-    Late tasks get ``LATE_SLACK_S`` plus the seconds by which they are late,
-    which ranks them behind all tasks that can still be in time.
-    """
-    slack_s = round(task.start_by - now, 3)
-    return slack_s if slack_s >= 0 else LATE_SLACK_S - slack_s
-
-
 _ENDS_THAT_AVOID_AGENT = frozenset(
     {RunEnd.FAILED, RunEnd.STALLED, RunEnd.REJECTED}
 )
--- a/packages/briarford/tests/fleet/test_fleet.py
+++ b/packages/briarford/tests/fleet/test_fleet.py
@@ -5,7 +5,7 @@
 import pytest
 
 from briarford.outcomes import Completed, Failed, Refused
-from briarford.requests.dispatcher import LATE_SLACK_S
+from briarford.requests.demand import LATE_SLACK_S
 from briarford.runs.sessions import FORGET_SESSION_S
 from fleet.worker import StandInWorker
 from fleet.world import World, request
