--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -287,7 +287,8 @@
             try:
                 self.core.handle(link, msg, now)
             except Exception:
-                # A peer sends it again after a reconnection.
+                # An order that is not known here counts as lost for its
+                # entry on the next connection.
                 EVENTS.exception(
                     "message-failed", extra={"kind": type(msg).__name__}
                 )
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -212,7 +212,7 @@
             try:
                 self.core.handle(link, msg, now)
             except Exception:
-                # A peer sends it again after a reconnection.
+                # Ends of runs are sent again on the next connection.
                 EVENTS.exception(
                     "message-failed", extra={"kind": type(msg).__name__}
                 )
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/tasks.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/tasks.py
@@ -11,7 +11,7 @@
 
 LOGGER = logging.getLogger("briarford.tasks")
 
-# Short enough that a peer does not take the process for gone.
+# Shorter than the silence after which a peer reconnects.
 RESTART_DELAY_S = 0.2
 
 
--- a/packages/briarford/src/briarford/store/interface.py
+++ b/packages/briarford/src/briarford/store/interface.py
@@ -103,7 +103,7 @@
 
 
 class ChangeStore(Store, Protocol):
-    """A store that also tells single changes, and has cheap old reads."""
+    """A store that also reports single changes, and has stale reads."""
 
     async def get_stale(self, key: str, deadline: float) -> KeyValue | None:
         """Read one key as it is now or was some seconds ago."""
