Reword four comments in the usual terms

Cause: spoken words in comments of key_watch, attachments and estimates. Change: comments only; no code, constant or text of a log line. Checked: formatter, linter, types, and the tests of the two modules that have tests of their own here.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/key_watch.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/key_watch.py
@@ -16,7 +16,7 @@
 
 CALL_TIMEOUT_S = 0.8
 # A new configuration has to be in force two seconds after its write, also if
-# the connection of the watch has gone silent.
+# the connection of the watch has become silent.
 WATCH_WAIT_S = 1.0
 # The service may drop its history without notice to a watch.
 REREAD_PERIOD_S = 5.0
@@ -61,7 +61,7 @@
                     extra={"key": self._key, "error": exc.message},
                 )
                 # The first retry follows at once: the connection of a watch
-                # may be gone while the service answers others.
+                # may be broken while the service answers on others.
                 if self._failed:
                     await asyncio.sleep(RETRY_DELAY_S)
                 self._failed = True
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -34,8 +34,8 @@
 
 SILENCE_S = 0.5  # after two missed heartbeats a new connection is opened
 REDIAL_DELAY_S = 0.1  # a restarted process listens within half a second
-# After this time of failed attempts the agent is more likely to be gone than
-# to restart, and is dialed less often until the registry lists a new process.
+# An agent that has refused all attempts for this long was probably removed. It
+# is dialed less often from then on, until the registry lists a new process.
 RESTART_S = 3.0
 GONE_REDIAL_DELAY_S = 1.0
 # When an agent process has ended, the worker stops the runs that it ordered
--- a/packages/briarford/src/briarford/requests/estimates.py
+++ b/packages/briarford/src/briarford/requests/estimates.py
@@ -25,7 +25,7 @@
 # estimates vary by PRIOR_VARIANCE (squared nats) had shown that.
 PRIOR_JOBS = 8.0
 PRIOR_VARIANCE = 0.2
-# Runs of some milliseconds say more about the network than about the task.
+# The time of shorter runs is mostly that of the network.
 MIN_WORK_S = 0.002
 
 
