Say why a run was lost, in the log and the metrics of its agent

Change: the agent keeps the cause of each loss, logs and counts it. No decision changes. Result: test_the_log_says_why_a_run_was_lost, six causes; red before, as there was no such field.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -39,6 +39,7 @@
     Demand,
     EntryHeartbeat,
     EntryMessage,
+    LossCause,
     RunEnd,
     StartRun,
     StopRun,
@@ -123,6 +124,7 @@
         self._by_task: dict[tuple[str, int], Run] = {}
         self._last_key = 0
         self._worker_answered_at = 0.0
+        self._worker_refuses = False
         self._lease_end = 0.0
         self._next_heartbeat = 0.0
         self._turn_needed = True
@@ -195,7 +197,7 @@
         if self.worker is None or self.worker.worker != worker:
             return
         self._log("worker-left", worker=worker)
-        self._finish_all(RunEnd.LOST, now)
+        self._finish_all(LossCause.WORKER_LEFT, now)
         self.worker = None
         self._reconciled = False
 
@@ -216,6 +218,7 @@
         self.acked_end = 0
         self._reconciled = False
         self._worker_answered_at = now
+        self._worker_refuses = False
         for run in self._runs.values():
             self._capacity.allocate(run.need)
             self._withdraw_after_restart(run)
@@ -246,6 +249,7 @@
         """
         run.phase = RunPhase.STOPPING
         run.end = RunEnd.LOST
+        run.loss = LossCause.WORKER_RESTARTED
         run.withdrawn_at = 0.0
         self._effects.append(WithdrawRun(run.key, run.task, run.run))
 
@@ -302,6 +306,7 @@
         if listing.born_ms != self.worker.born_ms:
             return
         self._worker_answered_at = now
+        self._worker_refuses = False
         is_outdated = requested_at < self._latest_listing_at
         self._latest_listing_at = max(self._latest_listing_at, requested_at)
         for row in sorted(listing.ended, key=lambda r: r.number):
@@ -319,6 +324,7 @@
         for ident, run in list(self._by_task.items()):
             if ident in listed or not run.absence_means_ended(requested_at):
                 continue
+            run.loss = run.loss or LossCause.NOT_LISTED
             end = run.end if run.withdrawn_at else RunEnd.LOST
             self._finish(run, end, now)
         unknown = listed - self._by_task.keys()
@@ -336,6 +342,7 @@
         """
         if self.may_extend_lease(now):
             self._log("worker-refused", runs=len(self._runs))
+        self._worker_refuses = True
         self._worker_answered_at = min(
             self._worker_answered_at, now - STOP_RENEWAL_AFTER_S
         )
@@ -355,6 +362,7 @@
             self._count_failure(run, now)
             self._finish(run, RunEnd.FAILED, now, ran_s)
         elif row.how in _LOST_RUN_REASONS:
+            run.loss = LossCause.LEASE_LAPSED
             self._finish(run, RunEnd.LOST, now, ran_s)
         else:
             self._finish(run, run.end, now, ran_s)
@@ -460,6 +468,8 @@
         self._log("order-rejected", task=run.task, reason=result.value)
         if run.phase is RunPhase.RUNNING:
             return  # a run listing has already shown that it runs
+        if result is OrderResult.OTHER_INCARNATION:
+            run.loss = LossCause.NOT_STARTED
         self._finish(run, _REJECTIONS[result], now)
 
     def stop_answered(self, key: int, now: float) -> None:
@@ -647,9 +657,11 @@
         for run in open_runs:
             self._stop(run, RunEnd.STOPPED)
 
-    def _finish_all(self, end: RunEnd, now: float) -> None:
+    def _finish_all(self, cause: LossCause, now: float) -> None:
+        """Report all runs as lost."""
         for run in list(self._runs.values()):
-            self._finish(run, end, now)
+            run.loss = cause
+            self._finish(run, RunEnd.LOST, now)
 
     def _finish(
         self, run: Run, end: RunEnd, now: float, ran_s: float = 0.0
@@ -666,6 +678,9 @@
         """Report an ended run to its entry, and count and log it."""
         session = run.session
         self.counts[end.value] += 1
+        cause = run.loss if end is RunEnd.LOST else None
+        if cause is not None:
+            self.counts[f"lost-{cause.value}"] += 1
         self._statuses.session_changed()
         self._send(session, session.add_ended(run.dispatch, end, ran_s))
         self._log(
@@ -674,6 +689,7 @@
             run=run.run,
             entry=session.entry,
             how=end.value,
+            cause=cause.value if cause is not None else "",
             ran_ms=round(ran_s * 1000),
             percent=run.percent,
         )
@@ -727,8 +743,13 @@
         if not self._runs or self.may_extend_lease(now):
             return
         if now > self._lease_end:
-            self._log("worker-silent", runs=len(self._runs))
-            self._finish_all(RunEnd.LOST, now)
+            cause = (
+                LossCause.WORKER_REFUSES
+                if self._worker_refuses
+                else LossCause.WORKER_SILENT
+            )
+            self._log("worker-silent", runs=len(self._runs), cause=cause.value)
+            self._finish_all(cause, now)
 
     def _offer_free_capacity(self, now: float) -> None:
         """Reserve free capacity for the entries with the most urgent tasks.
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -22,6 +22,7 @@
     "EntryBatch",
     "EntryHeartbeat",
     "EntryMessage",
+    "LossCause",
     "RunEnd",
     "RunEnded",
     "StartRun",
@@ -48,6 +49,18 @@
     UNANSWERED = "unanswered"  # no answer to the order, which was withdrawn
 
 
+class LossCause(enum.StrEnum):
+    """Why a run was lost, as far as its agent knows."""
+
+    WORKER_RESTARTED = "worker-restarted"
+    WORKER_REFUSES = "worker-refuses"  # it refuses connections
+    WORKER_SILENT = "worker-silent"
+    WORKER_LEFT = "worker-left"  # it announced that it leaves
+    LEASE_LAPSED = "lease-lapsed"  # the worker listed it as ended
+    NOT_LISTED = "not-listed"  # the worker answers and does not list it
+    NOT_STARTED = "not-started"  # the order met another incarnation
+
+
 class Attach(Message, frozen=True, tag="attach"):
     """Opens or resumes a session; the first message on each connection.
 
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -9,6 +9,7 @@
 from briarford.runs.messages import (
     Demand,
     EntryHeartbeat,
+    LossCause,
     RunEnd,
     RunEnded,
     WorkerStatus,
@@ -58,6 +59,7 @@
     :param start_by: latest time at which another run of the task could start
         for its job to be in time; a past time if unknown.
     :param useful_by: likewise for the answer of its job to be of use.
+    :param loss: why it is lost, if that is how it will be reported.
     """
 
     key: int
@@ -79,6 +81,7 @@
     end: RunEnd = RunEnd.STOPPED
     start_by: float = 0.0
     useful_by: float = 0.0
+    loss: LossCause | None = None
 
     def mark_started(self, now: float) -> None:
         """Record that the worker runs it; only the first call counts."""
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -19,7 +19,12 @@
     WorkerStatus,
 )
 from briarford.runs.agent import CLIENT_RETRY_DELAY_S, LEASE_S
-from briarford.runs.effects import PlaceOrder, SendToEntry, WithdrawRun
+from briarford.runs.effects import (
+    AgentEvent,
+    PlaceOrder,
+    SendToEntry,
+    WithdrawRun,
+)
 from briarford.runs.health import Slowness
 from fleet.worker import StandInWorker
 
@@ -103,6 +108,54 @@
     assert agent.accepting(NOW + 1.4)
 
 
+def restart(agent: RunAgent, at: float) -> None:
+    """Have the worker report that it has restarted, and confirm the stops."""
+    worker = StandInWorker("w", cpu=6000, born_ms=2)
+    agent.worker_reported(worker.report(at), at)
+    for run in (e for e in agent.turn(at) if isinstance(e, WithdrawRun)):
+        agent.stop_answered(run.key, at)
+    agent.listing_received(RunListing(2, (), ()), at + 0.1, at + 0.1)
+
+
+@pytest.mark.parametrize(
+    ("happen", "cause"),
+    [
+        (lambda a: a.worker_refused(NOW + 0.1), "worker-refuses"),
+        (lambda a: None, "worker-silent"),
+        (lambda a: restart(a, NOW + 0.5), "worker-restarted"),
+        (lambda a: a.worker_left("w", NOW + 0.1), "worker-left"),
+        (
+            lambda a: a.listing_received(
+                RunListing(1, (), ()), NOW + 0.5, NOW + 0.5
+            ),
+            "not-listed",
+        ),
+        (
+            lambda a: a.listing_received(
+                RunListing(1, (), (EndedRow(1, "j.0.0.0", 1, "lapsed"),)),
+                NOW + 0.5,
+                NOW + 0.5,
+            ),
+            "lease-lapsed",
+        ),
+    ],
+    ids=["refuses", "silent", "restarted", "left", "not listed", "lapsed"],
+)
+def test_the_log_says_why_a_run_was_lost(happen, cause):
+    """Guards against losses that cannot be explained after an incident."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    agent.lease_extended(LEASE_S, NOW)
+    happen(agent)
+    causes = [
+        e.fields["cause"]
+        for e in agent.turn(NOW + 1.2)
+        if isinstance(e, AgentEvent) and e.action == "run-ended"
+    ]
+    assert causes == [cause]
+    assert agent.counts[f"lost-{cause}"] == 1
+
+
 def ends_reported_at(agent: RunAgent, now: float) -> list[RunEnd]:
     return [
         e.message.how
