--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -7,6 +7,7 @@
 
 from briarford.runs import (
     Attach,
+    Demand,
     EndedRow,
     EntryHeartbeat,
     OrderResult,
@@ -108,6 +109,19 @@
     assert agent.accepting(NOW + 1.4)
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
+def test_an_offer_does_not_outlive_the_room_that_it_was_made_of():
+    """Guards against starts beyond a capacity that has shrunk."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    agent.handle(0, Demand(3000, 0.1), NOW)
+    agent.turn(NOW)
+    worker = StandInWorker("w", cpu=4000, sequence=5)
+    agent.worker_reported(worker.report(NOW), NOW)
+    start(agent, "k.0.0.0", 2)
+    assert agent.counts["no-room"] == 1
+
+
 def restart(agent: RunAgent, at: float) -> None:
     """Have the worker report that it has restarted, and confirm the stops."""
     worker = StandInWorker("w", cpu=6000, born_ms=2)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -53,6 +53,7 @@
 AGENT_READ_PERIOD_S = 2.5
 ENTRY_READ_PERIOD_S = 5.0
 REQUEST_RETRY_S = 0.3
+BOOT_S = 3.2
 
 ROUTE = Route(
     "pay",
@@ -141,7 +142,11 @@
     - ``stop_answers_lost``: whether workers carry out orders to stop a run
       and their answers are lost;
     - ``leases_count_from_arrival``: whether a worker grants each order a
-      whole lease from its arrival, however late that is.
+      whole lease from its arrival, however late that is;
+    - ``deadly``: for the name of a task, the seconds after its start at which
+      it crashes its worker, which boots under another id ``BOOT_S`` later;
+    - ``refused_connections``: whether connections to workers that are down are
+      refused.
 
     :param workers: the workers, each with an agent.
     :param entries: number of entries.
@@ -170,6 +175,9 @@
         self.dials: Counter[str] = Counter()  # by name of the agent
         self.addresses: dict[str, AgentAddress] = {}
         self.leases_count_from_arrival = False
+        self.deadly: dict[str, float] = {}
+        self.refused_connections = False
+        self.crashes: list[tuple[float, set[str]]] = []
         self.listing_delay_s = 0.0
         self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
@@ -572,6 +580,8 @@
             return
         worker, core = self.workers[node.name], node.core
         if not worker.up or core.worker is None:
+            if self.refused_connections and not worker.up:
+                self._run_in(node, lambda: core.worker_refused(self.now))
             self.after(0.1, lambda: self._watch(node, generation))
             return
         asked_at = self.now
@@ -635,9 +645,13 @@
                 return worker.start(
                     order.task, order.run, token, late_end, self.now
                 )
-            return worker.start(
+            result = worker.start(
                 order.task, order.run, token, lease_end, self.now
             )
+            if result is OrderResult.STARTED and order.task in self.deadly:
+                crash_after_s = self.deadly[order.task]
+                self.after(crash_after_s, lambda: self._crash(worker))
+            return result
 
         def answered(result: OrderResult) -> None:
             self._run_in(
@@ -653,6 +667,20 @@
             return
         self.after(WORKER_DELAY_S, lambda: answered(execute()))
 
+    def _crash(self, worker: StandInWorker) -> None:
+        """Crash a worker; it boots again under another id."""
+        if not worker.up:
+            return
+        worker.advance(self.now)
+        self.crashes.append((self.now, set(worker.runs)))
+        worker.crash(self.now)
+
+        def boot() -> None:
+            worker.name += "'"
+            worker.boot(self.now)
+
+        self.after(BOOT_S, boot)
+
     def _withdraw(
         self, node: Node, order: WithdrawRun, generation: int
     ) -> None:
