Give up a task under which workers crashed, and run its fellow victims apart

Callers saw jobs without an answer and, with them, everything else that ran on up to seven workers in a row: one task crashed each worker that started it. Cause: a run lost with its worker is no failure, and only failures were counted. All victims were queued in the same turn and placed together, so the task at fault took its neighbours into the next crash. Change: the agent says to all entries which tasks a lost worker was running; the entry gives a task up after crashes on two machines, or four lost workers. Victims of different jobs never share a worker, at the entry and at the agent. Evidence: test_crashing_tasks, 15 cases, red before (up to 35 starts), green now. One check was corrected: a job refused on arrival never ran, so it is not expected to have failed.

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -178,6 +178,28 @@
             return 0
         return max(0, self.status.spare_cpu - self.in_flight_cpu)
 
+    @property
+    def held_cpu(self) -> int:
+        """Thousandths of a processor that runs and orders hold."""
+        return 0 if self.status is None else self.status.cpu - self.spare_cpu
+
+    @property
+    def has_trial(self) -> bool:
+        """Whether its worker runs a task under suspicion to crash it."""
+        return self.status is not None and bool(self.status.trial_job)
+
+    def may_try(self, job: str) -> bool:
+        """Whether a task of a job that is under suspicion may run there.
+
+        Not beside one of another job.
+        """
+        if self.status is not None and self.status.trial_job not in ("", job):
+            return False
+        return all(
+            not d.task.suspect or d.task.job.request.job == job
+            for d in self.dispatches.values()
+        )
+
     def fits(self, step: StepSpec, now: float) -> bool:
         """Whether a task of a step fits into the free capacity."""
         status = self.status
--- /dev/null
+++ b/packages/briarford/src/briarford/requests/crashes.py
@@ -0,0 +1,102 @@
+"""Counts the workers that were lost under each task.
+
+Answers one load pattern: a task that crashes every worker that starts it. Its
+run is lost with the worker, which is no failure of its own, so the attempts of
+its route do not limit how often it is started again.
+
+All that ran on a crashed worker is under suspicion, as nobody can tell which
+task was at fault. A task is given up once workers have crashed under it on two
+machines. Until then tasks under suspicion run apart from those of other jobs,
+see :mod:`briarford.requests.placing`: the second crash then points to one job.
+
+A worker that crashes again and again by itself takes the same task down twice
+if that task returns to it. So a second crash on the same machine is not held
+against the task as much, and the task is started elsewhere if it can be.
+"""
+
+from __future__ import annotations
+
+from briarford.runs.losses import LossState, WorkerLoss
+
+__all__ = ["CrashCounts"]
+
+# Machines. The first crash may be that of a neighbour; the second one under a
+# task that ran apart from the other victims is most likely its own.
+MAX_CRASHES = 2
+# Workers. One that only fell silent may have been cut off, and one machine may
+# be at fault; with the fourth neither is likely.
+MAX_LOSSES = 4
+# Longer than clients repeat a request whose entry has died.
+KEEP_COUNT_S = 30.0
+
+
+class CrashCounts:
+    """The workers lost under each task, as reported by agents.
+
+    A loss is identified by the agent and the incarnation of its worker, so a
+    repeated report counts once.
+    """
+
+    __slots__ = ("_by_task", "_drop_at")
+
+    def __init__(self) -> None:
+        self._by_task: dict[str, dict[tuple[str, str], bool]] = {}
+        self._drop_at: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_task)
+
+    def learn(self, agent: str, loss: WorkerLoss, now: float) -> None:
+        """Adopt the report of an agent.
+
+        :param agent: its name.
+        :param loss: the report.
+        :param now: Unix time in seconds.
+        """
+        key = agent, loss.incarnation
+        for task in loss.tasks:
+            if loss.state is not LossState.SURVIVED:
+                self._add(task, key, loss.state is LossState.CRASHED, now)
+            elif task in self._by_task:
+                self._by_task[task].pop(key, None)
+
+    def lost_with_agent(
+        self, task: str, agent: str, run: int, now: float
+    ) -> None:
+        """Count a run whose agent died, so that nobody saw its worker.
+
+        :param task: name of the task.
+        :param agent: name of the agent.
+        :param run: number of the run.
+        :param now: Unix time in seconds.
+        """
+        self._add(task, (agent, f"run {run}"), False, now)
+
+    def crashes(self, task: str) -> int:
+        """Return how many workers have crashed under a task."""
+        return sum(self._by_task.get(task, {}).values())
+
+    def is_suspect(self, task: str) -> bool:
+        """Whether a worker was lost under a task."""
+        return bool(self._by_task.get(task))
+
+    def is_exhausted(self, task: str) -> bool:
+        """Whether a task is not to be started again."""
+        losses = self._by_task.get(task, {})
+        if len(losses) >= MAX_LOSSES:
+            return True
+        machines = {agent for (agent, _), crashed in losses.items() if crashed}
+        return len(machines) >= MAX_CRASHES
+
+    def drop_old(self, now: float) -> None:
+        """Forget tasks under which no worker was lost for a while."""
+        for task, at in list(self._drop_at.items()):
+            if now >= at:
+                del self._drop_at[task]
+                del self._by_task[task]
+
+    def _add(
+        self, task: str, key: tuple[str, str], crashed: bool, now: float
+    ) -> None:
+        self._by_task.setdefault(task, {})[key] = crashed
+        self._drop_at[task] = now + KEEP_COUNT_S
--- a/packages/briarford/src/briarford/requests/demand.py
+++ b/packages/briarford/src/briarford/requests/demand.py
@@ -17,7 +17,12 @@
 from briarford.requests.waiting import WaitingTasks
 from briarford.runs import Demand
 
-__all__ = ["LATE_SLACK_S", "MAX_TASKS_TRIED", "DemandReporter"]
+__all__ = [
+    "LATE_SLACK_S",
+    "MAX_SUSPECTS_TRIED",
+    "MAX_TASKS_TRIED",
+    "DemandReporter",
+]
 
 DEMAND_PERIOD_S = 0.1
 # Added to the lateness of late tasks. It is longer than any task may wait, so
@@ -26,6 +31,9 @@
 # In one turn at most so many waiting tasks are tried without success, and as
 # many are considered for the demand that agents are sent.
 MAX_TASKS_TRIED = 8
+# Of these at most so many are under suspicion: they may wait for a worker
+# without such a task while there is room for all others.
+MAX_SUSPECTS_TRIED = 2
 
 
 class DemandReporter:
@@ -109,9 +117,13 @@
         if not self._waiting:
             return urgent
         usable = [v for v in self._agents.linked() if v.usable(now)]
+        suspects = 0
         for task in self._waiting.in_order(now, scarce):
             if self._unended_runs.get(task.name):
                 continue
+            suspects += task.suspect
+            if task.suspect and suspects > MAX_SUSPECTS_TRIED:
+                continue
             service = task.job.route.service
             views = [
                 v
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -18,7 +18,12 @@
 from briarford.requests.admission import Admission
 from briarford.requests.agents import AgentView, Dispatch
 from briarford.requests.attachments import LEASE_EXPIRY_S, Attachments
-from briarford.requests.demand import MAX_TASKS_TRIED, DemandReporter
+from briarford.requests.crashes import CrashCounts
+from briarford.requests.demand import (
+    MAX_SUSPECTS_TRIED,
+    MAX_TASKS_TRIED,
+    DemandReporter,
+)
 from briarford.requests.effects import (
     EntryEffect,
     EntryEvent,
@@ -30,8 +35,10 @@
     JobRequest,
     Task,
     TaskPhase,
+    job_of,
     longest_chain_s,
     make_job,
+    task_names,
 )
 from briarford.requests.placing import (
     choose_agent,
@@ -54,6 +61,7 @@
     StartRun,
     StopRun,
     UnreportedFailure,
+    WorkerLoss,
     WorkerStatus,
 )
 from briarford.runs.agent import HEARTBEAT_PERIOD_S
@@ -102,6 +110,7 @@
         self._waiting = WaitingTasks()
         self._admission = Admission(name, self._waiting)
         self._estimates = EstimateModel()
+        self._crashes = CrashCounts()
         # Number of runs per task name that may not have ended.
         self._unended_runs: Counter[str] = Counter()
         self._demand = DemandReporter(
@@ -135,6 +144,9 @@
             return answered[1]
         if request.job in self._jobs:
             return None
+        exhausted = self._find_exhausted(request)
+        if exhausted:
+            return self._given_up(exhausted)
         usable = self._usable(route.service, now)
         estimates_s = tuple(s.expected_s for s in request.steps)
         request = self._estimates.correct(request, route.name)
@@ -146,6 +158,8 @@
             return refused
         job = make_job(request, route, now)
         job.estimates_s, job.rank = estimates_s, rank
+        for task in job.tasks if self._crashes else ():
+            task.suspect = self._crashes.is_suspect(task.name)
         self._jobs[request.job] = job
         self.counts["accepted"] += 1
         self._log(
@@ -263,6 +277,8 @@
             case AgentHeartbeat():
                 view.heartbeat_sent_at = msg.sent_at
                 self.evacuations.merge(msg.evacuations, now)
+                for loss in msg.losses:
+                    self._learn_loss(view, loss, now)
             case CapacityOffer():
                 # The offered capacity has to be used, or declined by a
                 # report of the demand in the next turn.
@@ -316,6 +332,52 @@
             self._learn_work(view, dispatch.task, msg.ran_s)
         self._finish_run(view, dispatch, msg.how, now)
 
+    def _learn_loss(
+        self, view: AgentView, loss: WorkerLoss, now: float
+    ) -> None:
+        """Learn from an agent which tasks ran on a worker that was lost."""
+        self._crashes.learn(view.name, loss, now)
+        self.counts[f"worker-{loss.state.value}"] += 1
+        open_tasks: dict[str, Task] = {}
+        for name in loss.tasks:
+            job = self._jobs.get(job_of(name))
+            if job is not None:
+                open_tasks |= {t.name: t for t in job.tasks if t.name == name}
+        self._log(
+            "worker-loss-learnt",
+            agent=view.name,
+            incarnation=loss.incarnation,
+            state=loss.state.value,
+            tasks=len(loss.tasks),
+            own=len(open_tasks),
+        )
+        for task in open_tasks.values():
+            task.suspect = self._crashes.is_suspect(task.name)
+            waits = task.phase is TaskPhase.WAITING and not task.job.ended
+            if waits and self._crashes.is_exhausted(task.name):
+                self._end_job(task.job, self._given_up(task.name), now)
+
+    def _find_exhausted(self, request: JobRequest) -> str:
+        """Return a task of a job that is not to be started; empty if none.
+
+        The job may have run at another entry, which has died.
+        """
+        if not self._crashes:
+            return ""
+        names = task_names(request)
+        return next((n for n in names if self._crashes.is_exhausted(n)), "")
+
+    def _given_up(self, task: str) -> Failed:
+        """Return the outcome of a job with a task that crashes its workers."""
+        detail = (
+            f"workers were lost under each start of task {task};"
+            f" {self._crashes.crashes(task)} of them have crashed"
+        )
+        self.counts["given-up-after-crashes"] += 1
+        return Failed(
+            FailureReason.TASK_FAILED, detail, Step.RUNNING, self.name
+        )
+
     def _learn_work(self, view: AgentView, task: Task, ran_s: float) -> None:
         """Learn from the first run of a job how accurate its estimate was.
 
@@ -358,11 +420,19 @@
             self._task_done(task, now)
             return
         self._log(
-            "run-not-done", task=task.name, agent=view.name, how=how.value
+            "run-not-done",
+            task=task.name,
+            agent=view.name,
+            how=how.value,
+            crashes=self._crashes.crashes(task.name),
         )
+        if self._crashes.is_exhausted(task.name):
+            self._end_job(task.job, self._given_up(task.name), now)
+            return
         if how is RunEnd.NO_ROOM:
             self._admission.revert_start(task.spec.work)
-        if how in _ENDS_THAT_AVOID_AGENT:
+        lost_with_worker = how is RunEnd.LOST and task.suspect
+        if how in _ENDS_THAT_AVOID_AGENT or lost_with_worker:
             task.failed_agents.add(view.name)
         if how in _ENDS_WITH_BACKOFF:
             view.backoff_until = now + BACKOFF_S
@@ -453,6 +523,11 @@
         """
         self._detect_pause(now)
         for view, dispatch in self._agents.review(now):
+            task = dispatch.task
+            self._crashes.lost_with_agent(
+                task.name, view.name, dispatch.run, now
+            )
+            task.suspect = True
             self._finish_run(view, dispatch, RunEnd.LOST, now)
         if now >= self._place_not_before:
             self._place_waiting(now)
@@ -486,7 +561,7 @@
         if not self._waiting:
             return
         services: dict[str, tuple[list[AgentView], float]] = {}
-        tried = 0
+        tried = suspects = 0
         placed = []
         scarce = self._admission.is_scarce(now)
         for task in self._waiting.in_order(now, scarce):
@@ -494,6 +569,8 @@
                 break
             if self._unended_runs[task.name]:
                 continue  # an earlier run of the task may still be going on
+            if task.suspect and suspects >= MAX_SUSPECTS_TRIED:
+                continue
             service = task.job.route.service
             if service not in services:
                 views = self._usable(service, now)
@@ -502,6 +579,7 @@
             view = choose_agent(task, views, held_share, now, self.zone)
             if view is None:
                 tried += 1
+                suspects += task.suspect
                 is_eligible = any(may_run_at(task, v, now) for v in views)
                 self._agents.raise_target(service, not is_eligible, now)
             else:
@@ -552,6 +630,7 @@
             slowness=status.slowness if status else None,
             zone=zone,
             free_cpu=view.free_cpu(now),
+            suspect=task.suspect,
         )
         req = task.job.request
         same_payload = view.last_job == req.job
@@ -569,6 +648,7 @@
             view.heartbeat_sent_at,
             round((task.start_by - now) * 1000),
             round((task.useful_by - now) * 1000),
+            task.suspect,
         )
         self._agents.send(view, order)
 
@@ -602,6 +682,7 @@
         for view in self._agents.linked():
             if view.attached:
                 self._send_heartbeat(view)
+        self._crashes.drop_old(now)
         for job_id, (until, _) in list(self._answered.items()):
             if until <= now:
                 del self._answered[job_id]
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 
 import msgspec
 
@@ -91,7 +92,10 @@
         is not placed.
     :param dispatch: number of its latest order.
     :param failed_agents: names of agents whose worker failed, stalled or
-        rejected it; others are preferred for the next attempt.
+        rejected it, or was lost with it; others are preferred for the next
+        attempt.
+    :param suspect: whether a worker was lost under it, so that it may crash
+        the next one.
     """
 
     name: str
@@ -105,6 +109,7 @@
     agent: str = ""
     dispatch: int = 0
     failed_agents: set[str] = msgspec.field(default_factory=set)
+    suspect: bool = False
 
     @property
     def useful_by(self) -> float:
@@ -196,11 +201,27 @@
     for number, step in enumerate(request.steps):
         start_by = job.objective_at - chains_s[number]
         for index in range(step.count):
-            name = f"{request.job}.0.{number}.{index}"
+            name = _task_name(request.job, number, index)
             job.tasks.append(Task(name, job, number, step, start_by))
     return job
 
 
+def task_names(request: JobRequest) -> Iterator[str]:
+    """Iterate over the names that the tasks of a job have at workers."""
+    for number, step in enumerate(request.steps):
+        for index in range(step.count):
+            yield _task_name(request.job, number, index)
+
+
+def job_of(task: str) -> str:
+    """Return the id of the job that a task belongs to, by its name."""
+    return task.partition(".")[0]
+
+
+def _task_name(job: str, step: int, index: int) -> str:
+    return f"{job}.0.{step}.{index}"
+
+
 def _longest_chains_from_s(steps: tuple[StepSpec, ...]) -> list[float]:
     """Return the expected seconds of the longest chain from each step on."""
     chains_s = [s.expected_s for s in steps]
--- a/packages/briarford/src/briarford/requests/placing.py
+++ b/packages/briarford/src/briarford/requests/placing.py
@@ -17,6 +17,11 @@
 choice among free workers that end the task in time. Near full load the most
 free one is chosen wherever it is: entries of one zone that press on the same
 workers would find them full.
+
+A task under which a worker was lost may crash the next one as well. Such tasks
+of different jobs never share a worker, so that a second crash points to one of
+them, and they go to workers with few other runs, which a crash would end too.
+Other tasks avoid these workers while others end them in time.
 """
 
 from __future__ import annotations
@@ -58,7 +63,8 @@
     """Whether a worker is eligible for a task, regardless of its load.
 
     Its agent must be usable, and the service, the required label and the
-    limit of tasks per worker must match.
+    limit of tasks per worker must match. A task under suspicion must not meet
+    that of another job.
     """
     status = view.status
     if status is None or not view.usable(now):
@@ -68,6 +74,8 @@
     label = task.spec.required_label
     if label and label not in status.labels:
         return False
+    if task.suspect and not view.may_try(task.job.request.job):
+        return False
     limit = task.spec.max_per_worker
     return not limit or _tasks_of_step_on(task, view) < limit
 
@@ -97,7 +105,7 @@
     """
     spec = task.spec
     fitting = [v for v in views if v.fits(spec, now)]
-    if spec.required_label or spec.max_per_worker:
+    if spec.required_label or spec.max_per_worker or task.suspect:
         fitting = [v for v in fitting if may_run_at(task, v, now)]
     if not fitting:
         return None
@@ -109,6 +117,11 @@
     if not in_time:
         return _choose_for_late_task(task, fitting, views, now)
     used_by_job = _used_by_job(task)
+    if task.suspect:
+        return min(
+            in_time, key=lambda v: (v.name not in used_by_job, v.held_cpu)
+        )
+    in_time = [v for v in in_time if not v.has_trial] or in_time
     if held_share < BUSY_UTILISATION:
         return min(
             in_time,
--- a/packages/briarford/src/briarford/runs/__init__.py
+++ b/packages/briarford/src/briarford/runs/__init__.py
@@ -7,6 +7,7 @@
 
 from briarford.runs.agent import RunAgent
 from briarford.runs.directory import AgentAddress
+from briarford.runs.losses import LossState, WorkerLoss
 from briarford.runs.messages import (
     AgentBatch,
     AgentHeartbeat,
@@ -50,6 +51,7 @@
     "EntryHeartbeat",
     "EntryMessage",
     "ListingFailure",
+    "LossState",
     "OrderResult",
     "RunAgent",
     "RunEnd",
@@ -59,6 +61,7 @@
     "StartRun",
     "StopRun",
     "UnreportedFailure",
+    "WorkerLoss",
     "WorkerReport",
     "WorkerStatus",
 ]
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -31,6 +31,7 @@
     WithdrawRun,
 )
 from briarford.runs.health import FailureGuard, Slowness
+from briarford.runs.losses import LossState, WorkerLoss, WorkerLosses
 from briarford.runs.messages import (
     AgentHeartbeat,
     AgentMessage,
@@ -140,6 +141,7 @@
         self._effects: list[AgentEffect] = []
         self._sessions = SessionTable(name, incarnation, self._send)
         self._notices = LeaveNotices(self._stop, self._log)
+        self._losses = WorkerLosses()
 
     # -- the worker ---------------------------------------------------------
 
@@ -209,8 +211,16 @@
             service=report.service,
             cpu=report.capacity.cpu,
         )
-        if self.worker is not None and self.worker.worker == report.worker:
-            self._effects.append(RaiseToken())
+        previous = self.worker
+        if previous is not None:
+            if previous.worker == report.worker:
+                self._effects.append(RaiseToken())
+            if not previous.draining:
+                tasks = [r.task for r in self._runs.values()]
+                self._report_loss(
+                    self._losses.restarted(_identity(previous), tasks, now),
+                    now,
+                )
         self._failure_guard = FailureGuard()
         self._slowness = Slowness()
         self._answer_timeout = AnswerTimeout()
@@ -307,6 +317,9 @@
             return
         self._worker_answered_at = now
         self._worker_refuses = False
+        self._report_loss(
+            self._losses.answered(_identity(self.worker), now), now
+        )
         is_outdated = requested_at < self._latest_listing_at
         self._latest_listing_at = max(self._latest_listing_at, requested_at)
         for row in sorted(listing.ended, key=lambda r: r.number):
@@ -562,6 +575,7 @@
             now,
             start_by=now + msg.start_within_ms / 1000,
             useful_by=now + msg.useful_within_ms / 1000,
+            suspect=msg.suspect,
         )
         session_valid = now <= session.expires_at
         order_valid = not msg.echo or now <= msg.echo + ORDER_TTL_S
@@ -575,7 +589,7 @@
             return
         fits = self._capacity.fits(need, session.entry, now)
         self._capacity.close_offer(session.entry)
-        if not fits:
+        if not fits or self._is_barred_by_trial(run):
             self._report_end(run, RunEnd.NO_ROOM, 0.0)
             return
         self._last_key += 1
@@ -598,6 +612,18 @@
     def _task_has_run(self, run: Run) -> bool:
         return any(r.task == run.task for r in self._runs.values())
 
+    def _is_barred_by_trial(self, run: Run) -> bool:
+        """Whether a task under suspicion would run beside that of another job.
+
+        If the worker crashed then, both would be given up for it.
+        """
+        return run.suspect and self._trial_job not in ("", run.job)
+
+    @property
+    def _trial_job(self) -> str:
+        """The job of which the worker runs tasks under suspicion."""
+        return next((r.job for r in self._runs.values() if r.suspect), "")
+
     def accepting(self, now: float) -> bool:
         """Whether the agent accepts new runs for its worker now.
 
@@ -720,8 +746,7 @@
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + HEARTBEAT_PERIOD_S
             for session in self._sessions.connected():
-                news = self.evacuations.news_for(session)
-                self._send(session, AgentHeartbeat(now, news))
+                self._send_heartbeat(session, now)
         effects, self._effects = self._effects, []
         return effects
 
@@ -749,8 +774,42 @@
                 else LossCause.WORKER_SILENT
             )
             self._log("worker-silent", runs=len(self._runs), cause=cause.value)
+            self._report_silence(now)
             self._finish_all(cause, now)
 
+    def _report_silence(self, now: float) -> None:
+        """Report the loss of a worker whose lease has ended without an answer.
+
+        One that is about to leave may have done so.
+        """
+        if self.worker is None or self.worker.draining:
+            return
+        state = LossState.CRASHED if self._worker_refuses else LossState.SILENT
+        tasks = [r.task for r in self._runs.values()]
+        identity = _identity(self.worker)
+        self._report_loss(self._losses.lost(identity, state, tasks, now), now)
+
+    def _report_loss(self, loss: WorkerLoss | None, now: float) -> None:
+        """Send the news of a lost worker to all entries.
+
+        They get it before the ends of its runs, which they decide by it.
+        """
+        if loss is None:
+            return
+        self._log(
+            "worker-loss",
+            incarnation=loss.incarnation,
+            state=loss.state.value,
+            tasks=len(loss.tasks),
+        )
+        for session in self._sessions.connected():
+            self._send_heartbeat(session, now)
+
+    def _send_heartbeat(self, session: Session, now: float) -> None:
+        evacuations = self.evacuations.news_for(session)
+        losses = self._losses.news_for(session)
+        self._send(session, AgentHeartbeat(now, evacuations, losses))
+
     def _offer_free_capacity(self, now: float) -> None:
         """Reserve free capacity for the entries with the most urgent tasks.
 
@@ -811,6 +870,7 @@
             round(self._slowness.factor(now), 2),
             0,
             self._capacity.spare_cpu,
+            self._trial_job,
         )
 
     def drained(self) -> bool:
@@ -857,6 +917,11 @@
     return report.worker, report.born_ms
 
 
+def _identity(report: WorkerReport) -> str:
+    """Return the incarnation of a worker as it is reported to entries."""
+    return f"{report.worker}/{report.born_ms}"
+
+
 _REJECTIONS = {
     OrderResult.FENCED: RunEnd.UNAVAILABLE,
     OrderResult.OUTDATED: RunEnd.UNAVAILABLE,
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -10,6 +10,7 @@
 
 from briarford.evacuations import KnownEvacuations
 from briarford.messages import Message
+from briarford.runs.losses import WorkerLoss
 
 __all__ = [
     "AgentBatch",
@@ -43,7 +44,9 @@
     STOPPED = "stopped"
     LOST = "lost"  # ended with the worker, its lease or its agent
     STALLED = "stalled"  # stopped by the agent for lack of progress
-    NO_ROOM = "no-room"  # not started: not enough free capacity
+    # Not started: not enough free capacity, or the task is under suspicion and
+    # the worker runs such a task of another job.
+    NO_ROOM = "no-room"
     UNAVAILABLE = "unavailable"  # not started: no new runs accepted now
     REJECTED = "rejected"  # not started: the worker rejects this task
     UNANSWERED = "unanswered"  # no answer to the order, which was withdrawn
@@ -104,6 +107,7 @@
         agents differ, so the agent makes a deadline of it.
     :param useful_within_ms: likewise for the answer of its job to be of use;
         0, as sent by earlier versions, if it is not.
+    :param suspect: whether a worker was lost under the task before.
     """
 
     dispatch: int
@@ -118,6 +122,7 @@
     echo: float = 0.0
     start_within_ms: int = 0
     useful_within_ms: int = 0
+    suspect: bool = False
 
 
 class StopRun(Message, frozen=True, tag="stop"):
@@ -199,6 +204,8 @@
         takes into account.
     :param spare_cpu: thousandths of a processor that no run uses, whether
         offered or waited for.
+    :param trial_job: the job of which it runs tasks under suspicion to crash
+        it; empty if none.
     """
 
     worker: str
@@ -213,6 +220,7 @@
     slowness: float
     last_dispatch: int
     spare_cpu: int = 0
+    trial_job: str = ""
 
 
 class AgentHeartbeat(Message, frozen=True, tag="pulse"):
@@ -221,10 +229,13 @@
     :param sent_at: seconds on the agent's clock; entries echo it.
     :param evacuations: what the agent knows of evacuations, if that has
         changed.
+    :param losses: workers of the agent that were lost with runs, as far as
+        the entry has not been sent them.
     """
 
     sent_at: float
     evacuations: KnownEvacuations | None = None
+    losses: tuple[WorkerLoss, ...] = ()
 
 
 class RunEnded(Message, frozen=True, tag="ended"):
--- a/packages/briarford/src/briarford/runs/sessions.py
+++ b/packages/briarford/src/briarford/runs/sessions.py
@@ -93,6 +93,7 @@
         session.extend(msg.echo)
         session.last_status = None
         session.evacuations_sent = 0
+        session.losses_sent = 0
         session.demand = None
         self._by_link[link] = session
         known = [*session.runs, *(e.dispatch for e in session.ended)]
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -60,6 +60,7 @@
         for its job to be in time; a past time if unknown.
     :param useful_by: likewise for the answer of its job to be of use.
     :param loss: why it is lost, if that is how it will be reported.
+    :param suspect: whether a worker was lost under the task before.
     """
 
     key: int
@@ -82,6 +83,7 @@
     start_by: float = 0.0
     useful_by: float = 0.0
     loss: LossCause | None = None
+    suspect: bool = False
 
     def mark_started(self, now: float) -> None:
         """Record that the worker runs it; only the first call counts."""
@@ -142,6 +144,7 @@
     :param needs_status: whether the entry waits for a newer status, which is
         not urgent.
     :param evacuations_sent: as in ``EvacuationPeer``.
+    :param losses_sent: as in ``LossPeer``.
     """
 
     entry: str
@@ -162,6 +165,7 @@
     ended_since_status: bool = False
     needs_status: bool = False
     evacuations_sent: int = 0
+    losses_sent: int = 0
 
     @property
     def last_confirmed_at(self) -> float:
