Start a task elsewhere at once if its order was never sent

Callers waited over a second for tasks that were ordered in the moments between the crash of a worker and its agent's noticing it, and these tasks counted as victims of the crash. Cause: a refused connection for an order counted as an order without an answer, which may be carried out late, so the run was settled by the end of the lease. Change: an order for which no connection could be opened has not been sent; its run ends as unavailable, and the worker does not count as answering.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -463,14 +463,15 @@
         run = self._runs.get(key)
         if result is not OrderResult.STARTED or not self.accepting(now):
             self._turn_needed = True
-        if result is not OrderResult.UNANSWERED:
+        answered = result not in _UNANSWERED
+        if answered:
             self._worker_answered_at = max(self._worker_answered_at, now)
         if run is None:
             return
-        if result is OrderResult.UNANSWERED:
-            self._answer_timeout.expired()
-        else:
+        if answered:
             self._answer_timeout.observe(now - run.ordered_at)
+        elif result is OrderResult.UNANSWERED:
+            self._answer_timeout.expired()
         if result is OrderResult.STARTED:
             run.mark_started(now)
             return
@@ -922,6 +923,8 @@
     return f"{report.worker}/{report.born_ms}"
 
 
+_UNANSWERED = frozenset({OrderResult.UNANSWERED, OrderResult.NOT_SENT})
+
 _REJECTIONS = {
     OrderResult.FENCED: RunEnd.UNAVAILABLE,
     OrderResult.OUTDATED: RunEnd.UNAVAILABLE,
@@ -930,4 +933,5 @@
     OrderResult.BUSY: RunEnd.UNAVAILABLE,
     OrderResult.INVALID: RunEnd.REJECTED,
     OrderResult.OTHER_INCARNATION: RunEnd.LOST,
+    OrderResult.NOT_SENT: RunEnd.UNAVAILABLE,
 }
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -78,6 +78,7 @@
     INVALID = "invalid"
     OTHER_INCARNATION = "other-boot"  # another instance answered
     UNANSWERED = "unanswered"  # it may still be executed
+    NOT_SENT = "not-sent"  # no connection could be opened
 
 
 class ListingFailure(enum.Enum):
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -109,6 +109,22 @@
     assert agent.accepting(NOW + 1.4)
 
 
+@pytest.mark.parametrize(
+    ("result", "ends"),
+    [(OrderResult.NOT_SENT, ["unavailable"]), (OrderResult.UNANSWERED, [])],
+    ids=["not sent", "unanswered"],
+)
+def test_only_an_order_that_was_sent_waits_for_the_lease(result, ends):
+    """Guards against a second of waiting, and a suspicion, without cause."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    order = next(e for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    agent.lease_extended(LEASE_S, NOW)
+    agent.order_answered(order.key, result, NOW + 0.4)
+    assert ends_reported_at(agent, NOW + 0.4) == ends
+    assert not agent.accepting(NOW + 0.4)
+
+
 @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
 def test_an_offer_does_not_outlive_the_room_that_it_was_made_of():
     """Guards against starts beyond a capacity that has shrunk."""
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -660,6 +660,9 @@
                 if_needed=True,
             )
 
+        if self.refused_connections and not worker.up:
+            self.after(WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT))
+            return
         if late_by is not None or not worker.up:
             if late_by is not None:
                 self.after(late_by, lambda: execute() and None)
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -175,6 +175,15 @@
     assert not await worker.stop_run(report(address), stop, 42)
 
 
+async def test_an_order_to_a_crashed_worker_has_not_been_sent(worker):
+    """Guards against tasks that wait for a lease although nothing was sent."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+    order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
+    result = await worker.start_run(report(address), order, 42, LEASE_S)
+    assert result is OrderResult.NOT_SENT
+
+
 async def test_run_listing_is_decoded(worker, worker_server):
     stand_in, address = worker_server
     stand_in.answer = {
