Store a shrunk capacity at once for the next process of the agent

Cause: the record of a worker was written at once when it drains, but a smaller capacity only with the next renewal, up to 1.5 s later. An agent that restarts in between restores the larger one and starts beyond the room. Change: a heartbeat that offers less than the one before has the record written. Result: test_the_end_of_a_worker_is_stored_at_once[shrinking], red before.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -225,14 +225,13 @@
     def worker_reported(self, report: WorkerReport) -> None:
         """Pass a heartbeat of the worker to the core.
 
-        That it drains is stored at once: another process of this agent, which
-        may follow before the next heartbeat, must not use it.
+        That it drains, or that its capacity has shrunk, is stored at once:
+        another process of this agent, which may follow before the next
+        heartbeat, must not use what is gone.
         """
-        was_draining = self.core.worker is not None and (
-            self.core.worker.draining
-        )
+        previous = self.core.worker
         self.core.worker_reported(report, self._clock.now())
-        if report.draining and not was_draining:
+        if _offers_less(report, previous):
             self._registration.record_changed()
         self._worker_changed.set()
         self._wake()
@@ -479,3 +478,17 @@
         self.core.listing_received(listing, requested_at, self._listed_at)
         self._wake()
         return listing
+
+
+def _offers_less(report: WorkerReport, previous: WorkerReport | None) -> bool:
+    """Whether a worker drains, or has less capacity, than it reported last."""
+    if previous is None:
+        return report.draining
+    if report.draining and not previous.draining:
+        return True
+    now, before = report.capacity, previous.capacity
+    return (
+        now.cpu < before.cpu
+        or now.memory_mb < before.memory_mb
+        or now.gpu < before.gpu
+    )
--- a/packages/briarford-daemon/tests/test_agent_process.py
+++ b/packages/briarford-daemon/tests/test_agent_process.py
@@ -113,10 +113,19 @@
     agent.worker_left("w")
 
 
-@pytest.mark.parametrize("change", [draining, leaving])
+def shrinking(agent: FleetAgent) -> None:
+    less = Capacity(REPORT.capacity.cpu - 1, REPORT.capacity.memory_mb, 0)
+    agent.worker_reported(
+        msgspec.structs.replace(REPORT, capacity=less, sequence=2)
+    )
+
+
+@pytest.mark.parametrize("change", [draining, leaving, shrinking])
 async def test_the_end_of_a_worker_is_stored_at_once(record_writes, change):
     """The next process of the agent must not use a worker that has left.
 
+    Nor the part of its capacity that is gone.
+
     It restores the worker from the record, which would otherwise be written
     with the next renewal, up to 1.5 s later.
     """
