--- a/packages/briarford/tests/fleet/test_members.py
+++ b/packages/briarford/tests/fleet/test_members.py
@@ -9,7 +9,7 @@
 from briarford.outcomes import Completed
 from briarford.runs import AgentAddress
 from fleet.worker import StandInWorker
-from fleet.world import World, request
+from fleet.world import REPORT_PERIOD_S, World, request
 
 TRAFFIC_PERIOD_S = 0.05
 
@@ -209,3 +209,43 @@
     world.unanswered_order_delay = lambda task: None
     world.run(10.0)
     assert_all_completed(world, jobs)
+
+
+@pytest.mark.parametrize("restarts", [False, True], ids=["", "with restarts"])
+@pytest.mark.parametrize("seed", range(4))
+def test_workers_that_shrink_are_not_overloaded(seed, restarts):
+    """Guards against starts beyond a capacity that shrinks and grows.
+
+    The workers guard nothing themselves. A shrunk capacity counts from the
+    next heartbeat on.
+    """
+    world = make_world(3)
+    rng = random.Random(seed)
+    full = 16000
+    sizes: dict[str, list[tuple[float, int]]] = {}
+    for name, worker in world.workers.items():
+        worker.guards = False
+        worker.cpu = full
+        sizes[name] = [(world.now, full)]
+    world.run(REPORT_PERIOD_S)
+
+    def resize(name: str) -> None:
+        world.workers[name].cpu = rng.choice((full, full // 2, full // 4))
+        sizes[name].append((world.now, world.workers[name].cpu))
+
+    for n in range(30):
+        world.after(0.4 * n, lambda: resize(rng.choice(list(sizes))))
+    for n in range(6 if restarts else 0):
+        node = world.agents[f"a{n % 3}"]
+        world.after(2.0 * n + 0.9, lambda k=node: world.kill(k))
+        world.after(2.0 * n + 1.3, lambda k=node: world.restart_agent(k))
+    add_traffic(world, 12.0)
+    world.run(20.0)
+    for name, worker in world.workers.items():
+        assert len(worker.loads) > 20
+        for at, load in worker.loads:
+            known_since = at - REPORT_PERIOD_S - 0.1
+            last = [s for t, s in sizes[name] if t <= known_since][-1:]
+            recent = [s for t, s in sizes[name] if known_since < t <= at]
+            assert load <= max([*last, *recent], default=full)
+    assert not world.overlaps()
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -67,6 +67,9 @@
     :param rejected_for_capacity: number of orders without free capacity.
     :param leaves_at: while it drains, the time until which it reports to stay
         at least; 0 if it reports none.
+    :param guards: whether it rejects a run that exceeds its capacity.
+    :param loads: what each start has brought its load to: time, thousandths
+        of a processor.
     :param acknowledged: task and number of the ended runs that the agent has
         acknowledged.
     """
@@ -92,6 +95,8 @@
     rejected_for_capacity: int = 0
     draining: bool = False
     leaves_at: float = 0.0
+    guards: bool = True
+    loads: list[tuple[float, int]] = field(default_factory=list)
     acknowledged: set[tuple[str, int]] = field(default_factory=set)
 
     def report(self, now: float, draining: bool = False) -> WorkerReport:
@@ -145,9 +150,11 @@
             return OrderResult.OUTDATED
         cpu, work_s = self.needs[task.partition(".")[0]]
         self._extend(lease_end, now)
-        if cpu + sum(r.cpu for r in self.runs.values()) > self.cpu:
+        load = cpu + sum(r.cpu for r in self.runs.values())
+        if self.guards and load > self.cpu:
             self.rejected_for_capacity += 1
             return OrderResult.NO_ROOM
+        self.loads.append((now, load))
         self.runs[task] = Running(task, run, cpu, work_s, now)
         return OrderResult.STARTED
 
