Answer what is open at the end of a drain

Cause: FleetEntry.drain left open jobs to the closing of their connections. Change: at the end of the drain each open job gets an outcome. One of which nothing was started is refused, which is true; a started one is stopped and answered 502 with Retry-After, after which clients repeat a request at another entry. Its runs are stopped before, on the same links. Result: test_a_planned_stop_answers_what_outlasts_it with real processes: the connection ended without an answer before, 502 now.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -174,7 +174,8 @@
         """Report not ready, and wait until the accepted jobs have ended.
 
         Returns once no job is open and the load balancer has stopped sending
-        requests, or at the end of ``stop_within_s`` less a reserve.
+        requests, or at the end of ``stop_within_s`` less a reserve. Jobs that
+        are open then get an outcome that asks their clients to repeat them.
         """
         self.stopping = True
         now = self.clock.now()
@@ -185,6 +186,9 @@
             min_drain_over = self.clock.now() >= now + MIN_DRAIN_S
             if min_drain_over and not self.core.open_jobs:
                 return
+        EVENTS.info("drain-ended", extra={"open_jobs": self.core.open_jobs})
+        self.core.end_open_jobs(self.clock.now())
+        self._wake()
 
     async def stop(self) -> None:
         """Close all connections to agents."""
--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -140,11 +140,7 @@
             )
         chain_s = longest_chain_s(request.steps)
         if self.stop_by is not None and now + 2 * chain_s > self.stop_by:
-            return self.refuse(
-                RefusalReason.STOPPING,
-                "the entry stops; another one takes the request",
-                now + MIN_RETRY_AFTER_S,
-            )
+            return self.refuse_stopping(now)
         if not usable or self._is_attaching(route.service, now):
             return None
         if utilisation(usable) < REFUSAL_UTILISATION:
@@ -267,6 +263,14 @@
             retry_at,
         )
 
+    def refuse_stopping(self, now: float) -> Refused:
+        """Return the refusal of a job that would outlast the process."""
+        return self.refuse(
+            RefusalReason.STOPPING,
+            "the entry stops; another one takes the request",
+            now + MIN_RETRY_AFTER_S,
+        )
+
     def refuse(
         self, reason: RefusalReason, detail: str, retry_at: float | None
     ) -> Refused:
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -17,7 +17,11 @@
 )
 from briarford.requests.admission import Admission
 from briarford.requests.agents import AgentView, Dispatch
-from briarford.requests.attachments import LEASE_EXPIRY_S, Attachments
+from briarford.requests.attachments import (
+    AGENT_LOST_S,
+    LEASE_EXPIRY_S,
+    Attachments,
+)
 from briarford.requests.crashes import CrashCounts
 from briarford.requests.demand import (
     MAX_SUSPECTS_TRIED,
@@ -213,6 +217,26 @@
         """
         self._admission.stop_by = deadline
 
+    def end_open_jobs(self, now: float) -> None:
+        """Give all open jobs an outcome, as the process stops.
+
+        A job that has started may be repeated at another entry once its runs
+        have ended, which takes as long as that of a lost entry.
+
+        :param now: Unix time in seconds.
+        """
+        for job in list(self._jobs.values()):
+            outcome: Outcome = self._admission.refuse_stopping(now)
+            if job.started:
+                outcome = Failed(
+                    FailureReason.HOME_LOST,
+                    "the entry stops before the job has ended",
+                    Step.RUNNING,
+                    self.name,
+                    retry_at=now + AGENT_LOST_S,
+                )
+            self._end_job(job, outcome, now, keep_outcome=False)
+
     @property
     def open_jobs(self) -> int:
         """Number of jobs that were admitted and have no outcome yet."""
--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -156,6 +156,14 @@
             b'{"state":"failed"}',
             0,
         ),
+        (
+            Failed(
+                FailureReason.HOME_LOST, "d", Step.RUNNING, "p", retry_at=102.1
+            ),
+            502,
+            b'{"error":"d"}',
+            3,
+        ),
         (
             Refused(RefusalReason.STOPPING, "d", Step.ADMIT, "p", 101.2),
             503,
@@ -169,7 +177,7 @@
             0,
         ),
     ],
-    ids=["completed", "failed", "stopping", "unsupported"],
+    ids=["completed", "failed", "to be repeated", "stopping", "unsupported"],
 )
 def test_outcome_is_encoded(outcome, status, body, retry_after_s):
     reply = encode_outcome(outcome, 100.0)
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -318,6 +318,26 @@
         assert await fleet.processes["entry"].wait() == 0
 
 
+async def test_a_planned_stop_answers_what_outlasts_it(fleet):
+    """Guards against a connection that ends without an answer."""
+    await fleet.eventually(lambda: report_worker(fleet), True)
+    await fleet.eventually(fleet.ready, 200)
+    done = (200, b'{"state":"completed"}')
+    await fleet.eventually(lambda: fleet.submit("00000000000000af"), done)
+    fleet.worker.core.needs["00000000000000b0"] = (1000, 60.0)
+    running = asyncio.create_task(fleet.submit("00000000000000b0"))
+
+    async def is_running() -> bool:
+        return bool(fleet.worker.core.runs)
+
+    await fleet.eventually(is_running, True)
+    fleet.processes["entry"].send_signal(signal.SIGTERM)
+    status, body = await running
+    assert status == 502
+    assert b"before the job has ended" in body
+    await fleet.eventually(is_running, False)
+
+
 async def test_a_restarted_agent_serves_without_a_new_heartbeat(fleet):
     await fleet.eventually(lambda: report_worker(fleet), True)
     await fleet.eventually(fleet.ready, 200)
