Look up the tasks of a lost worker once per job; log repeats without a start

Cause: the lookup went through all tasks of a job for each name; a repeat that is answered as failed at once had no line in the log.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -150,6 +150,7 @@
             return None
         exhausted = self._find_exhausted(request)
         if exhausted:
+            self._log("repeat-exhausted", job=request.job, task=exhausted)
             return self._given_up(exhausted)
         usable = self._usable(route.service, now)
         estimates_s = tuple(s.expected_s for s in request.steps)
@@ -362,11 +363,9 @@
         """Learn from an agent which tasks ran on a worker that was lost."""
         self._crashes.learn(view.name, loss, now)
         self.counts[f"worker-{loss.state.value}"] += 1
-        open_tasks: dict[str, Task] = {}
-        for name in (*loss.tasks, *loss.unconfirmed):
-            job = self._jobs.get(job_of(name))
-            if job is not None:
-                open_tasks |= {t.name: t for t in job.tasks if t.name == name}
+        names = {*loss.tasks, *loss.unconfirmed}
+        jobs = [self._jobs.get(j) for j in {job_of(n) for n in names}]
+        own = [t for j in jobs if j for t in j.tasks if t.name in names]
         self._log(
             "worker-loss-learnt",
             agent=view.name,
@@ -374,9 +373,9 @@
             state=loss.state.value,
             tasks=len(loss.tasks),
             unconfirmed=len(loss.unconfirmed),
-            own=len(open_tasks),
+            own=len(own),
         )
-        for task in open_tasks.values():
+        for task in own:
             task.suspect = self._crashes.is_suspect(task.name)
             waits = task.phase is TaskPhase.WAITING and not task.job.ended
             if waits and self._crashes.is_exhausted(task.name):
