Withdraw the loss of a run whose agent died if its worker is seen again

A caller's job was given up after five losses although only one worker had crashed under it: the others were agents that had been killed. Cause: an entry counted each run that was lost with its agent, and nothing ever said that the worker had gone on. Change: the status of a worker says when it started, and each order remembers it. A status of the next process with the same incarnation withdraws the loss.

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -25,6 +25,7 @@
     :param memory_mb: megabytes of memory that it takes.
     :param gpu: accelerators that it takes.
     :param sent_at: Unix time in seconds at which the order was sent.
+    :param incarnation: of the worker that was to run it; empty if unknown.
     """
 
     task: Task
@@ -34,6 +35,7 @@
     memory_mb: int
     gpu: int
     sent_at: float
+    incarnation: str = ""
 
 
 class AgentView(msgspec.Struct, eq=False):
@@ -90,6 +92,8 @@
     :param evacuated_zones: zones that are closed for new runs; one set for
         all agents, updated in place.
     :param evacuations_sent: as in ``EvacuationPeer``.
+    :param worker_seen: incarnation of the worker in the latest status on the
+        open connection that accepted runs; empty if there was none.
     """
 
     name: str
@@ -125,6 +129,7 @@
     unowned: list[tuple[float, Dispatch]] = msgspec.field(default_factory=list)
     evacuated_zones: AbstractSet[str] = frozenset()
     evacuations_sent: int = 0
+    worker_seen: str = ""
 
     @property
     def service(self) -> str:
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -203,6 +203,7 @@
         view.last_job = ""
         view.linked_at = now
         view.evacuations_sent = 0
+        view.worker_seen = ""
         self._links[link] = view
         attach = Attach(
             self._entry,
--- a/packages/briarford/src/briarford/requests/crashes.py
+++ b/packages/briarford/src/briarford/requests/crashes.py
@@ -65,16 +65,31 @@
             self._add(task, key, crashed, now)
 
     def lost_with_agent(
-        self, task: str, agent: str, run: int, now: float
+        self, task: str, agent: str, incarnation: str, now: float
     ) -> None:
         """Count a run whose agent died, so that nobody saw its worker.
 
         :param task: name of the task.
         :param agent: name of the agent.
-        :param run: number of the run.
+        :param incarnation: of the worker.
         :param now: Unix time in seconds.
         """
-        self._add(task, (agent, f"run {run}"), False, now)
+        if (agent, incarnation) not in self._by_task.get(task, {}):
+            self._add(task, (agent, incarnation), False, now)
+
+    def survived(self, agent: str, incarnation: str) -> list[str]:
+        """Withdraw all losses of a worker, as it takes runs again.
+
+        :param agent: name of its agent.
+        :param incarnation: of the worker.
+        :return: names of the tasks that were lost with it.
+        """
+        key = agent, incarnation
+        return [
+            task
+            for task, losses in self._by_task.items()
+            if losses.pop(key, None) is not None
+        ]
 
     def crashes(self, task: str) -> int:
         """Return how many workers have crashed under a task."""
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from typing import Any
 
 from briarford.evacuations import Evacuations
@@ -299,6 +300,7 @@
                 view.update_status(msg)
                 if msg.accepting:
                     view.mark_unowned_ended(now)
+                    self._worker_seen(view, msg.incarnation)
             case AgentHeartbeat():
                 view.heartbeat_sent_at = msg.sent_at
                 self.evacuations.merge(msg.evacuations, now)
@@ -363,9 +365,7 @@
         """Learn from an agent which tasks ran on a worker that was lost."""
         self._crashes.learn(view.name, loss, now)
         self.counts[f"worker-{loss.state.value}"] += 1
-        names = {*loss.tasks, *loss.unconfirmed}
-        jobs = [self._jobs.get(j) for j in {job_of(n) for n in names}]
-        own = [t for j in jobs if j for t in j.tasks if t.name in names]
+        own = self._open_tasks({*loss.tasks, *loss.unconfirmed})
         self._log(
             "worker-loss-learnt",
             agent=view.name,
@@ -381,6 +381,34 @@
             if waits and self._crashes.is_exhausted(task.name):
                 self._end_job(task.job, self._given_up(task.name), now)
 
+    def _lost_with_agent(
+        self, view: AgentView, dispatch: Dispatch, now: float
+    ) -> None:
+        """Put a task under suspicion unless its worker has been seen since."""
+        if view.worker_seen and view.worker_seen == dispatch.incarnation:
+            return
+        task = dispatch.task
+        incarnation = dispatch.incarnation or f"run {dispatch.run}"
+        self._crashes.lost_with_agent(task.name, view.name, incarnation, now)
+        task.suspect = True
+
+    def _worker_seen(self, view: AgentView, incarnation: str) -> None:
+        """Record that a worker takes runs, so that it has not crashed.
+
+        Its agent may have died with what it knew of the worker's runs.
+        """
+        if view.worker_seen == incarnation:
+            return
+        view.worker_seen = incarnation
+        names = self._crashes.survived(view.name, incarnation)
+        for task in self._open_tasks(set(names)):
+            task.suspect = self._crashes.is_suspect(task.name)
+
+    def _open_tasks(self, names: AbstractSet[str]) -> list[Task]:
+        """Return the tasks of these names that belong to open jobs."""
+        jobs = [self._jobs.get(j) for j in {job_of(n) for n in names}]
+        return [t for j in jobs if j for t in j.tasks if t.name in names]
+
     def _find_exhausted(self, request: JobRequest) -> str:
         """Return a task of a job that is not to be started; empty if none.
 
@@ -547,11 +575,7 @@
         """
         self._detect_pause(now)
         for view, dispatch in self._agents.review(now):
-            task = dispatch.task
-            self._crashes.lost_with_agent(
-                task.name, view.name, dispatch.run, now
-            )
-            task.suspect = True
+            self._lost_with_agent(view, dispatch, now)
             self._finish_run(view, dispatch, RunEnd.LOST, now)
         if now >= self._place_not_before:
             self._place_waiting(now)
@@ -634,6 +658,7 @@
             step.memory_mb,
             step.gpu,
             now,
+            view.status.incarnation if view.status is not None else "",
         )
         view.add(dispatch)
         view.offered_cpu = max(0, view.offered_cpu - step.cpu)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -31,7 +31,12 @@
     WithdrawRun,
 )
 from briarford.runs.health import FailureGuard, Slowness
-from briarford.runs.losses import LossState, WorkerLoss, WorkerLosses
+from briarford.runs.losses import (
+    LossState,
+    WorkerLoss,
+    WorkerLosses,
+    incarnation_of,
+)
 from briarford.runs.messages import (
     AgentHeartbeat,
     AgentMessage,
@@ -873,6 +878,7 @@
             0,
             self._capacity.spare_cpu,
             self._trial_job,
+            worker.born_ms,
         )
 
     def drained(self) -> bool:
@@ -920,8 +926,7 @@
 
 
 def _identity(report: WorkerReport) -> str:
-    """Return the incarnation of a worker as it is reported to entries."""
-    return f"{report.worker}/{report.born_ms}"
+    return incarnation_of(report.worker, report.born_ms)
 
 
 _UNANSWERED = frozenset({OrderResult.UNANSWERED, OrderResult.NOT_SENT})
--- a/packages/briarford/src/briarford/runs/losses.py
+++ b/packages/briarford/src/briarford/runs/losses.py
@@ -18,12 +18,27 @@
 if TYPE_CHECKING:
     from briarford.runs.state import Run
 
-__all__ = ["LossPeer", "LossState", "WorkerLoss", "WorkerLosses"]
+__all__ = [
+    "LossPeer",
+    "LossState",
+    "WorkerLoss",
+    "WorkerLosses",
+    "incarnation_of",
+]
 
 # Longer than clients repeat a request whose entry has died.
 KEEP_LOSS_S = 30.0
 
 
+def incarnation_of(worker: str, born_ms: int) -> str:
+    """Return the incarnation of a worker as agents report it to entries.
+
+    :param worker: its id.
+    :param born_ms: when it started, in Unix milliseconds.
+    """
+    return f"{worker}/{born_ms}"
+
+
 class LossState(enum.StrEnum):
     """What the agent knows of a worker that stopped answering."""
 
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -10,7 +10,7 @@
 
 from briarford.evacuations import KnownEvacuations
 from briarford.messages import Message
-from briarford.runs.losses import WorkerLoss
+from briarford.runs.losses import WorkerLoss, incarnation_of
 
 __all__ = [
     "AgentBatch",
@@ -206,6 +206,8 @@
         offered or waited for.
     :param trial_job: the job of which it runs tasks under suspicion to crash
         it; empty if none.
+    :param born_ms: when its incarnation started, in Unix milliseconds; 0 if
+        an earlier version does not say.
     """
 
     worker: str
@@ -221,6 +223,14 @@
     last_dispatch: int
     spare_cpu: int = 0
     trial_job: str = ""
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """The incarnation of the worker; empty if unknown."""
+        if not self.born_ms:
+            return ""
+        return incarnation_of(self.worker, self.born_ms)
 
 
 class AgentHeartbeat(Message, frozen=True, tag="pulse"):
