Learn the length of leases; stop renewing at a worker that resets connections

Change: WorkerContact has what the agent knows of its worker's answers, taken out of RunAgent. A lease lasts twice the longest gap between calls of the last seconds, and 0.1 s more, a second at most; a new process starts with a second. A call that is reset after an earlier one was, on a connection made since, ends renewals as a refused one does.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -24,6 +24,7 @@
     RunListing,
     WorkerReport,
 )
+from briarford.runs.contact import LISTING_WAIT_S
 from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
@@ -51,14 +52,15 @@
 
 EVENTS = logging.getLogger("briarford.decision")
 
-# The worker sends a requested run listing when a run ends, or after this time.
-# Each request renews the lease of one second, so it is renewed five times.
-LISTING_WAIT_S = 0.2
+# Between requests for run listings to a worker that does not answer: twice as
+# long after each one. A heartbeat of the worker ends the pause.
 LISTING_RETRY_DELAY_S = 0.05
+MAX_LISTING_RETRY_DELAY_S = 0.2
 # If an answer is this late, it was lost or the worker is unresponsive. A
 # hedged request, which the worker answers at once, shows which of the two.
-# After ``UNRESPONSIVE_AFTER_S`` without an answer a worker gets no runs.
-HEDGE_AFTER_S = LISTING_WAIT_S + 0.03
+# Without an answer a worker soon gets no runs.
+HEDGE_DELAY_S = 0.03
+TOKEN_WAIT_S = 0.2
 # Runs of one job end within milliseconds; the next request waits for them,
 # so that one answer reports them all.
 END_BATCH_S = 0.004
@@ -379,13 +381,15 @@
     async def _withdraw_run(self, order: WithdrawRun) -> None:
         """Repeat the order to stop a run until the worker confirms it.
 
-        Gives up if there is no worker any more, if the run has ended, or if
-        another process of this agent has taken over.
+        Pauses while the worker does not answer: its lease is not renewed
+        then. Gives up if there is no worker any more, if the run has ended,
+        or if another process of this agent has taken over.
         """
         while (worker := self.core.worker) is not None:
             if not self.core.has_token:
                 return
-            if await self._confirm_stop(worker, order):
+            answers = self.core.may_extend_lease(self._clock.now())
+            if answers and await self._confirm_stop(worker, order):
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
                 # Only the run listing shows whether the run had started.
@@ -414,16 +418,22 @@
         the worker or the token is unknown, and also after a worker has not
         answered: a heartbeat may report another one.
         """
+        retry_delay_s = LISTING_RETRY_DELAY_S
         while True:
             self._worker_changed.clear()
             if self.core.worker is None or not self.core.has_token:
-                await self._wait_for_change(LISTING_WAIT_S)
+                await self._wait_for_change(TOKEN_WAIT_S)
                 continue
             self._polled_at = self._clock.now()
             listing = await self._list_runs(LISTING_WAIT_S)
             if listing is None:
-                await self._wait_for_change(LISTING_RETRY_DELAY_S)
-            elif listing.ended:
+                await self._wait_for_change(retry_delay_s)
+                retry_delay_s = min(
+                    MAX_LISTING_RETRY_DELAY_S, 2 * retry_delay_s
+                )
+                continue
+            retry_delay_s = LISTING_RETRY_DELAY_S
+            if listing.ended:
                 await asyncio.sleep(END_BATCH_S)
 
     async def _hedge_run_listings(self) -> None:
@@ -434,13 +444,14 @@
         """
         while True:
             now = self._clock.now()
-            late_at = max(self._polled_at, self._listed_at) + HEDGE_AFTER_S
+            hedge_after_s = LISTING_WAIT_S + HEDGE_DELAY_S
+            late_at = max(self._polled_at, self._listed_at) + hedge_after_s
             if now < late_at:
                 await asyncio.sleep(late_at - now)
             elif self.core.worker is None or not self.core.has_token:
-                await asyncio.sleep(HEDGE_AFTER_S)
+                await asyncio.sleep(TOKEN_WAIT_S)
             elif await self._list_runs(0.0) is None:
-                await asyncio.sleep(LISTING_RETRY_DELAY_S)
+                await asyncio.sleep(MAX_LISTING_RETRY_DELAY_S)
 
     async def _wait_for_change(self, longest_s: float) -> None:
         """Wait until the worker or the token has changed, but not long."""
@@ -472,6 +483,9 @@
         if listing is ListingFailure.REFUSED:
             self.core.worker_refused(self._clock.now())
             self._wake()
+        elif listing is ListingFailure.RESET:
+            self.core.connection_reset(requested_at, self._clock.now())
+            self._wake()
         if isinstance(listing, ListingFailure):
             return None
         self._listed_at = self._clock.now()
--- a/packages/briarford-daemon/tests/test_run_listings.py
+++ b/packages/briarford-daemon/tests/test_run_listings.py
@@ -120,7 +120,7 @@
 @asynccontextmanager
 async def waiting_without_limit(monkeypatch, agent):
     """Run an agent whose waits end with an event only."""
-    for name in ("LISTING_WAIT_S", "LISTING_RETRY_DELAY_S", "HEDGE_AFTER_S"):
+    for name in ("TOKEN_WAIT_S", "LISTING_RETRY_DELAY_S", "HEDGE_DELAY_S"):
         monkeypatch.setattr(f"briarford_daemon.fleet.agent.{name}", 1000.0)
     await agent.start()
     try:
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -23,7 +23,7 @@
     SendToAgent,
 )
 from briarford.runs import AgentAddress, Attach, EntryMessage
-from briarford.runs.agent import LEASE_S
+from briarford.runs.leases import LEASE_S
 from briarford.runs.state import SESSION_TTL_S
 
 __all__ = [
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -21,6 +21,7 @@
 
 from briarford.evacuations import Evacuations
 from briarford.runs.capacity import CapacityTracker
+from briarford.runs.contact import WorkerContact
 from briarford.runs.demands import by_rank
 from briarford.runs.effects import (
     AgentEffect,
@@ -65,22 +66,13 @@
     WorkerReport,
 )
 
-__all__ = ["HEARTBEAT_PERIOD_S", "LEASE_S", "RunAgent"]
+__all__ = ["HEARTBEAT_PERIOD_S", "RunAgent"]
 
 # Four heartbeats in a row may be lost within SESSION_TTL_S.
 HEARTBEAT_PERIOD_S = 0.2
-LEASE_S = 1.0  # longest lease that workers grant
-CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may be 2% slow
-# Covers the time in which an order reaches the worker, and the rounding of
-# lease ends to milliseconds.
-LEASE_MARGIN_S = 0.05
 # Clients repeat a request this long after their connection broke, which is
 # the longest wait for a retransmission on the users' networks.
 CLIENT_RETRY_DELAY_S = 1.3
-# A worker answers ten requests for its run listing per second. After three
-# missed answers it gets no new runs; after five its lease is not renewed.
-UNRESPONSIVE_AFTER_S = 0.3
-STOP_RENEWAL_AFTER_S = 0.5
 # A worker takes up to 50 ms to stop a run, and the order up to 120 ms.
 UNKNOWN_RUN_RETRY_S = 0.2
 # An entry has a heartbeat that is HEARTBEAT_PERIOD_S old at most, or half a
@@ -129,9 +121,7 @@
         self._runs: dict[int, Run] = {}
         self._by_task: dict[tuple[str, int], Run] = {}
         self._last_key = 0
-        self._worker_answered_at = 0.0
-        self._worker_refuses = False
-        self._lease_end = 0.0
+        self._contact = WorkerContact()
         self._next_heartbeat = 0.0
         self._turn_needed = True
         self._statuses = StatusSchedule()
@@ -232,8 +222,7 @@
         self._capacity = CapacityTracker(report.capacity)
         self.acked_end = 0
         self._reconciled = False
-        self._worker_answered_at = now
-        self._worker_refuses = False
+        self._contact.joined(now)
         for run in self._runs.values():
             self._capacity.allocate(run.need)
             self._withdraw_after_restart(run)
@@ -271,21 +260,19 @@
     def may_extend_lease(self, now: float) -> bool:
         """Whether the next call to the worker may renew its lease.
 
-        A worker that has not answered for ``STOP_RENEWAL_AFTER_S`` gets no
-        renewal, so that its runs end by themselves.
+        A worker that does not answer gets no renewal, so that its runs end
+        by themselves.
         """
-        return now - self._worker_answered_at < STOP_RENEWAL_AFTER_S
+        return self._contact.may_extend_lease(now)
 
     def lease_s(self, now: float) -> float:
-        """Return for how many seconds the next call extends the lease.
+        """Return for how many seconds the call made now extends the lease.
 
         An entry may have died after its last heartbeat, and this process may
         die before it stops the runs of that entry. The lease therefore ends
         before the clients of any entry with runs here would repeat their
         requests at another entry.
         """
-        if not self.may_extend_lease(now):
-            return 0.0
         repeats_at = min(
             (
                 r.session.last_confirmed_at + CLIENT_RETRY_DELAY_S
@@ -293,8 +280,7 @@
             ),
             default=math.inf,
         )
-        left_s = (repeats_at - LEASE_MARGIN_S - now) / CLOCK_DRIFT_FACTOR
-        return max(0.0, min(LEASE_S, left_s))
+        return self._contact.lease_s(repeats_at, now)
 
     def lease_extended(self, lease_s: float, now: float) -> None:
         """Record that a call that extends the lease is being sent.
@@ -302,8 +288,7 @@
         From this time on the worker may hold the lease, with or without an
         answer.
         """
-        end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
-        self._lease_end = max(self._lease_end, end)
+        self._contact.lease_extended(lease_s, now)
 
     def listing_received(
         self, listing: RunListing, requested_at: float, now: float
@@ -320,8 +305,7 @@
             self._adopt_restarted_worker(listing, now)
         if listing.born_ms != self.worker.born_ms:
             return
-        self._worker_answered_at = now
-        self._worker_refuses = False
+        self._contact.listed(now)
         self._report_loss(
             self._losses.answered(_identity(self.worker), now), now
         )
@@ -360,10 +344,17 @@
         """
         if self.may_extend_lease(now):
             self._log("worker-refused", runs=len(self._runs))
-        self._worker_refuses = True
-        self._worker_answered_at = min(
-            self._worker_answered_at, now - STOP_RENEWAL_AFTER_S
-        )
+        self._contact.refused(now)
+
+    def connection_reset(self, requested_at: float, now: float) -> None:
+        """Process a call of which the connection ended before the answer.
+
+        :param requested_at: when the call was made.
+        """
+        renewed = self.may_extend_lease(now)
+        self._contact.reset(requested_at, now)
+        if renewed and not self.may_extend_lease(now):
+            self._log("worker-resets", runs=len(self._runs))
 
     def _process_ended_run(self, row: EndedRow, now: float) -> None:
         """Report an ended run from the worker's list to its entry."""
@@ -470,7 +461,7 @@
             self._turn_needed = True
         answered = result not in _UNANSWERED
         if answered:
-            self._worker_answered_at = max(self._worker_answered_at, now)
+            self._contact.answered(now)
         if run is None:
             return
         if answered:
@@ -481,8 +472,9 @@
             run.mark_started(now)
             return
         if result is OrderResult.UNANSWERED:
-            if run.phase is RunPhase.ORDERED:
-                self._stop(run, RunEnd.UNANSWERED)
+            if run.phase is not RunPhase.ORDERED:
+                return
+            self._stop(run, RunEnd.UNANSWERED)
             return
         self._log("order-rejected", task=run.task, reason=result.value)
         if run.phase is RunPhase.RUNNING:
@@ -501,7 +493,7 @@
         :param key: number of the run at this agent.
         """
         run = self._runs.get(key)
-        self._worker_answered_at = max(self._worker_answered_at, now)
+        self._contact.answered(now)
         if run is not None:
             run.withdrawn_at = now
 
@@ -650,7 +642,7 @@
             return False
         if self._failure_guard.on_probation and self._runs:
             return False
-        return now - self._worker_answered_at < UNRESPONSIVE_AFTER_S
+        return self._contact.is_responsive(now)
 
     # -- ended runs ---------------------------------------------------------
 
@@ -771,17 +763,16 @@
 
     def _expire_lease(self, now: float) -> None:
         """Count all runs as lost once the lease of a silent worker ended."""
-        if not self._runs or self.may_extend_lease(now):
+        if not self._runs or not self._contact.lease_has_ended(now):
             return
-        if now > self._lease_end:
-            cause = (
-                LossCause.WORKER_REFUSES
-                if self._worker_refuses
-                else LossCause.WORKER_SILENT
-            )
-            self._log("worker-silent", runs=len(self._runs), cause=cause.value)
-            self._report_silence(now)
-            self._finish_all(cause, now)
+        cause = (
+            LossCause.WORKER_REFUSES
+            if self._contact.refuses
+            else LossCause.WORKER_SILENT
+        )
+        self._log("worker-silent", runs=len(self._runs), cause=cause.value)
+        self._report_silence(now)
+        self._finish_all(cause, now)
 
     def _report_silence(self, now: float) -> None:
         """Report the loss of a worker whose lease has ended without an answer.
@@ -790,7 +781,8 @@
         """
         if self.worker is None or self.worker.draining:
             return
-        state = LossState.CRASHED if self._worker_refuses else LossState.SILENT
+        refuses = self._contact.refuses
+        state = LossState.CRASHED if refuses else LossState.SILENT
         runs = self._runs.values()
         identity = _identity(self.worker)
         self._report_loss(self._losses.lost(identity, state, runs, now), now)
@@ -905,7 +897,7 @@
             "sessions": len(self._sessions),
             "worker_known": float(self.worker is not None),
             "worker_accepting": float(self.accepting(now)),
-            "worker_answer_age_s": now - self._worker_answered_at,
+            "worker_answer_age_s": now - self._contact.answered_at,
             "worker_slowness": self._slowness.factor(now),
             "free_cpu": self._capacity.free_cpu(now),
         }
--- /dev/null
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -0,0 +1,117 @@
+"""Whether a worker answers its agent, and how long its runs have a lease.
+
+Answers these loads: workers that crash, flap or are cut off while they run
+tasks, The runs of a
+worker that does not answer have ended only once their lease has, so the lease
+is not renewed from the first sign of that. Such a sign costs little if it is
+wrong, as the next answer renews the lease.
+"""
+
+from __future__ import annotations
+
+from briarford.runs.leases import LeaseLength
+
+__all__ = ["CLOCK_DRIFT_FACTOR", "LISTING_WAIT_S", "WorkerContact"]
+
+CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may be 2% slow
+# Covers the time in which an order reaches the worker, and the rounding of
+# lease ends to milliseconds.
+LEASE_MARGIN_S = 0.05
+# A worker answers ten requests for its run listing per second. After three
+# missed answers it gets no new runs; after five its lease is not renewed.
+UNRESPONSIVE_AFTER_S = 0.3
+STOP_RENEWAL_AFTER_S = 0.5
+# The worker sends a requested run listing when a run ends, or after this time.
+LISTING_WAIT_S = 0.2
+
+
+class WorkerContact:
+    """What an agent knows of the answers of its worker and of their lease.
+
+    :attr:`answered_at` is when the worker last answered, and :attr:`refuses`
+    whether it has refused connections since.
+    """
+
+    __slots__ = (
+        "_lease_end",
+        "_lease_length",
+        "_reset_at",
+        "answered_at",
+        "refuses",
+    )
+
+    def __init__(self) -> None:
+        self.answered_at = 0.0
+        self.refuses = False
+        self._reset_at = 0.0
+        self._lease_end = 0.0
+        self._lease_length = LeaseLength()
+
+    def joined(self, now: float) -> None:
+        """Start over with another worker or another incarnation of it."""
+        self.listed(now)
+        self._lease_length.paused()
+
+    def listed(self, now: float) -> None:
+        """Record that the worker has sent its run listing."""
+        self.answered_at = now
+        self.refuses = False
+        self._reset_at = 0.0
+
+    def answered(self, now: float) -> None:
+        """Record the answer to another call."""
+        self.answered_at = max(self.answered_at, now)
+
+    def refused(self, now: float) -> None:
+        """Record that the worker has refused a connection."""
+        self.refuses = True
+        self._stop_renewal(now)
+
+    def reset(self, requested_at: float, now: float) -> None:
+        """Record that a connection has ended before the answer to a call.
+
+        All connections of a process may be reset at once while new ones work.
+        A call that was made after that and is lost in the same way shows that
+        the worker does not serve.
+
+        :param requested_at: when the call was made.
+        """
+        if not self._reset_at:
+            self._reset_at = now
+        elif requested_at >= self._reset_at:
+            self._stop_renewal(now)
+
+    def is_responsive(self, now: float) -> bool:
+        """Whether the worker answers well enough to get new runs."""
+        return now - self.answered_at < UNRESPONSIVE_AFTER_S
+
+    def may_extend_lease(self, now: float) -> bool:
+        """Whether the next call to the worker may renew its lease."""
+        return now - self.answered_at < STOP_RENEWAL_AFTER_S
+
+    def lease_s(self, repeats_at: float, now: float) -> float:
+        """Return for how many seconds the call made now extends the lease.
+
+        :param repeats_at: the lease ends before this time.
+        """
+        self._lease_length.called(now)
+        if not self.may_extend_lease(now):
+            return 0.0
+        left_s = (repeats_at - LEASE_MARGIN_S - now) / CLOCK_DRIFT_FACTOR
+        return max(0.0, min(self._lease_length.seconds, left_s))
+
+    def lease_extended(self, lease_s: float, now: float) -> None:
+        """Record that a call that extends the lease is being sent.
+
+        From this time on the worker may hold the lease, with or without an
+        answer.
+        """
+        end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
+        self._lease_end = max(self._lease_end, end)
+
+    def lease_has_ended(self, now: float) -> bool:
+        """Whether the worker is silent and all that it ran has ended."""
+        return not self.may_extend_lease(now) and now > self._lease_end
+
+    def _stop_renewal(self, now: float) -> None:
+        self.answered_at = min(self.answered_at, now - STOP_RENEWAL_AFTER_S)
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -88,6 +88,8 @@
     # The connection was refused: the worker has crashed, or the network
     # refuses connections to it.
     REFUSED = "refused"
+    # The connection ended before the answer.
+    RESET = "reset"
 
 
 class RunningRow(msgspec.Struct, frozen=True):
--- a/packages/briarford/tests/fleet/load.py
+++ b/packages/briarford/tests/fleet/load.py
@@ -169,6 +169,7 @@
     notices: Sequence[tuple[float, int]] = (),
     unanswered: float = 0.0,
     prefer_zone: bool = False,
+    refused: bool = False,
 ) -> tuple[dict[str, Tally], World]:
     """Simulate a load and return the result of each kind of request.
 
@@ -187,6 +188,7 @@
         carry out ``UNANSWERED_DELAY_S`` later.
     :param prefer_zone: whether entries prefer workers of their own zone.
         Workers and entries are in the zones ``ZONES`` in rotation.
+    :param refused: whether connections to crashed workers are refused.
     """
     deployment = FLEETS[fleet]
     speeds, zones = deployment.speeds, deployment.zones
@@ -201,6 +203,7 @@
     ]
     preferred = ZONES if prefer_zone else ("",)
     world = World(workers, len(zones), zones=preferred)
+    world.refused_connections = refused
     world.run(1.0)
     started_at = world.now
     if agents_after_s:
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -19,7 +19,7 @@
     StartRun,
     WorkerStatus,
 )
-from briarford.runs.agent import CLIENT_RETRY_DELAY_S, LEASE_S
+from briarford.runs.agent import CLIENT_RETRY_DELAY_S
 from briarford.runs.effects import (
     AgentEvent,
     PlaceOrder,
@@ -27,6 +27,7 @@
     WithdrawRun,
 )
 from briarford.runs.health import Slowness
+from briarford.runs.leases import LEASE_S
 from fleet.worker import StandInWorker
 
 NOW = 1000.0
@@ -125,6 +126,31 @@
     assert not agent.accepting(NOW + 0.4)
 
 
+@pytest.mark.parametrize(
+    ("calls", "renewed"),
+    [
+        ([(0.0, 0.1)], True),
+        ([(0.0, 0.1), (0.05, 0.1)], True),  # both on connections of before
+        ([(0.0, 0.1), (0.12, 0.13)], False),
+    ],
+    ids=["one", "all open connections", "a new connection"],
+)
+def test_calls_to_a_flapping_worker_do_not_renew_its_lease(calls, renewed):
+    """Guards against a second of waiting for a worker that resets all."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    agent.lease_extended(agent.lease_s(NOW + 0.1), NOW + 0.1)
+    for requested_s, lost_s in calls:
+        agent.connection_reset(NOW + requested_s, NOW + lost_s)
+    assert agent.may_extend_lease(NOW + 0.13) is renewed
+    assert agent.accepting(NOW + 0.13) is renewed
+    if not renewed:
+        assert ends_reported_at(agent, NOW + 1.1) == []
+        assert ends_reported_at(agent, NOW + 1.2) == [RunEnd.LOST]
+    agent.listing_received(RunListing(1, (), ()), NOW + 1.3, NOW + 1.3)
+    assert agent.accepting(NOW + 1.3)
+
+
 def test_an_offer_does_not_outlive_the_room_that_it_was_made_of():
     """Guards against starts beyond a capacity that has shrunk."""
     agent = make_agent("e")
