Ask for run listings more often where answers get lost

Change: once a hedged request shows that an answer was lost, the worker is let wait 40 ms in place of 200 for three seconds.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -24,7 +24,6 @@
     RunListing,
     WorkerReport,
 )
-from briarford.runs.contact import LISTING_WAIT_S
 from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
@@ -152,6 +151,7 @@
         self._fencing_token = 0
         self._token_outdated = False
         self._polled_at = 0.0
+        self._polled_wait_s = 0.0
         self._listed_at = 0.0
         self._links = AgentLinks(
             self._on_attach, self._on_messages, self._on_link_closed
@@ -425,7 +425,8 @@
                 await self._wait_for_change(TOKEN_WAIT_S)
                 continue
             self._polled_at = self._clock.now()
-            listing = await self._list_runs(LISTING_WAIT_S)
+            self._polled_wait_s = self.core.listing_wait_s(self._polled_at)
+            listing = await self._list_runs(self._polled_wait_s)
             if listing is None:
                 await self._wait_for_change(retry_delay_s)
                 retry_delay_s = min(
@@ -444,7 +445,7 @@
         """
         while True:
             now = self._clock.now()
-            hedge_after_s = LISTING_WAIT_S + HEDGE_DELAY_S
+            hedge_after_s = self._polled_wait_s + HEDGE_DELAY_S
             late_at = max(self._polled_at, self._listed_at) + hedge_after_s
             if now < late_at:
                 await asyncio.sleep(late_at - now)
@@ -452,6 +453,8 @@
                 await asyncio.sleep(TOKEN_WAIT_S)
             elif await self._list_runs(0.0) is None:
                 await asyncio.sleep(MAX_LISTING_RETRY_DELAY_S)
+            else:
+                self.core.listing_lost(self._clock.now())
 
     async def _wait_for_change(self, longest_s: float) -> None:
         """Wait until the worker or the token has changed, but not long."""
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -356,6 +356,14 @@
         if renewed and not self.may_extend_lease(now):
             self._log("worker-resets", runs=len(self._runs))
 
+    def listing_lost(self, now: float) -> None:
+        """Process a request for a run listing without an answer in time."""
+        self._contact.listing_lost(now)
+
+    def listing_wait_s(self, now: float) -> float:
+        """Return for how long the worker may wait with its run listing."""
+        return self._contact.listing_wait_s(now)
+
     def _process_ended_run(self, row: EndedRow, now: float) -> None:
         """Report an ended run from the worker's list to its entry."""
         run = self._by_task.get((row.task, row.run))
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -1,7 +1,7 @@
 """Whether a worker answers its agent, and how long its runs have a lease.
 
 Answers these loads: workers that crash, flap or are cut off while they run
-tasks, The runs of a
+tasks, and workers that leave a part of the calls unanswered. The runs of a
 worker that does not answer have ended only once their lease has, so the lease
 is not renewed from the first sign of that. Such a sign costs little if it is
 wrong, as the next answer renews the lease.
@@ -23,6 +23,11 @@
 STOP_RENEWAL_AFTER_S = 0.5
 # The worker sends a requested run listing when a run ends, or after this time.
 LISTING_WAIT_S = 0.2
+# The runs that end while an answer is lost are known with the next listing. A
+# worker that loses answers is asked more often for a while, as disturbances
+# last seconds.
+SHORT_LISTING_WAIT_S = 0.04
+SHORT_WAITS_FOR_S = 3.0
 
 
 class WorkerContact:
@@ -36,6 +41,7 @@
         "_lease_end",
         "_lease_length",
         "_reset_at",
+        "_short_waits_until",
         "answered_at",
         "refuses",
     )
@@ -44,6 +50,7 @@
         self.answered_at = 0.0
         self.refuses = False
         self._reset_at = 0.0
+        self._short_waits_until = 0.0
         self._lease_end = 0.0
         self._lease_length = LeaseLength()
 
@@ -81,6 +88,16 @@
         elif requested_at >= self._reset_at:
             self._stop_renewal(now)
 
+    def listing_lost(self, now: float) -> None:
+        """Record that a request for a run listing got no answer in time."""
+        self._short_waits_until = now + SHORT_WAITS_FOR_S
+
+    def listing_wait_s(self, now: float) -> float:
+        """Return for how long the worker may wait for a run to end."""
+        if now < self._short_waits_until:
+            return SHORT_LISTING_WAIT_S
+        return LISTING_WAIT_S
+
     def is_responsive(self, now: float) -> bool:
         """Whether the worker answers well enough to get new runs."""
         return now - self.answered_at < UNRESPONSIVE_AFTER_S
--- a/packages/briarford/tests/fleet/load.py
+++ b/packages/briarford/tests/fleet/load.py
@@ -185,7 +185,8 @@
         they leave ``NOTICE_S`` later; others come ``NEXT_AFTER_S`` after
         that.
     :param unanswered: share of the orders that workers leave unanswered and
-        carry out ``UNANSWERED_DELAY_S`` later.
+        carry out ``UNANSWERED_DELAY_S`` later, and of the run listings of
+        which the answer is lost.
     :param prefer_zone: whether entries prefer workers of their own zone.
         Workers and entries are in the zones ``ZONES`` in rotation.
     :param refused: whether connections to crashed workers are refused.
@@ -213,6 +214,7 @@
         world.unanswered_order_delay = lambda task: (
             UNANSWERED_DELAY_S if fault_rng.random() < unanswered else None
         )
+        world.listing_lost = lambda: fault_rng.random() < unanswered
     for seconds_until, number in lost:
         _schedule_crash(world, workers[number], started_at + seconds_until)
     for seconds_until, number in notices:
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -149,7 +149,7 @@
         if run <= self.highest_run.get(task, 0):
             return OrderResult.OUTDATED
         cpu, work_s = self.needs[task.partition(".")[0]]
-        self._extend(lease_end, now)
+        self.extend(lease_end, now)
         load = cpu + sum(r.cpu for r in self.runs.values())
         if self.guards and load > self.cpu:
             self.rejected_for_capacity += 1
@@ -187,7 +187,7 @@
             }
             self.ended = [e for e in self.ended if e.number > acked_end]
             if lease_end is not None:
-                self._extend(lease_end, now)
+                self.extend(lease_end, now)
         rows = tuple(
             RunningRow(r.task, r.run, self._percent(r, now))
             for r in self.runs.values()
@@ -251,5 +251,6 @@
         done = (now - run.started_at) * self.speed / run.work_s
         return min(99, int(done * 100))
 
-    def _extend(self, lease_end: float, now: float) -> None:
+    def extend(self, lease_end: float, now: float) -> None:
+        """Extend the lease of all runs, which never shortens it."""
         self.lease_end = max(self.lease_end, min(lease_end, now + 1.0))
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -45,7 +45,7 @@
 WORKER_DELAY_S = 0.0003
 STORE_DELAY_S = 0.012  # reading, writing and reading a record
 TICK_S = 0.02
-LISTING_WAIT_S = 0.2
+LISTING_LATE_S = 0.03
 LISTING_RETRY_S = 0.05
 REPORT_PERIOD_S = 1.5
 LIST_PERIOD_S = 0.5
@@ -139,6 +139,8 @@
       which the worker carries out an order to start it, while the agent gets
       no answer; None for an order that arrives and is answered at once;
     - ``listing_delay_s``: seconds by which run listings arrive late;
+    - ``listing_lost``: whether the answer to a request for a run listing is
+      lost;
     - ``stop_answers_lost``: whether workers carry out orders to stop a run
       and their answers are lost;
     - ``leases_count_from_arrival``: whether a worker grants each order a
@@ -179,6 +181,7 @@
         self.refused_connections = False
         self.crashes: list[tuple[float, set[str]]] = []
         self.listing_delay_s = 0.0
+        self.listing_lost: Callable[[], bool] = lambda: False
         self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
@@ -571,7 +574,8 @@
     def _watch(self, node: Node, generation: int) -> None:
         """Have an agent call its worker for run listings, one at a time.
 
-        The worker answers when a run ends, or after ``LISTING_WAIT_S``.
+        The worker answers when a run ends, or after the time that the agent
+        lets it wait.
         """
         if not self._is_alive(node, generation):
             return
@@ -589,6 +593,17 @@
         if lease_s:
             core.lease_extended(lease_s, self.now)
         lease_end = self.now + lease_s if lease_s else None
+        wait_s = core.listing_wait_s(self.now)
+        if self.listing_lost():
+
+            def ask_again() -> None:
+                core.listing_lost(self.now)
+                self._watch(node, generation)
+
+            if lease_end is not None:
+                worker.extend(lease_end, self.now)
+            self.after(wait_s + LISTING_LATE_S, ask_again)
+            return
         first = worker.listing(core.acked_end, core.token, lease_end, self.now)
         seen = core.acked_end
 
@@ -618,7 +633,7 @@
                     LISTING_RETRY_S, lambda: self._watch(node, generation)
                 )
                 return
-            late = self.now >= asked_at + LISTING_WAIT_S
+            late = self.now >= asked_at + wait_s
             worker.advance(self.now)
             if late or worker.ended or not worker.up:
                 answer(worker.listing(seen, core.token, None, self.now))
