Repeat an order without an answer before its run is withdrawn

The worker starts a run number once, whichever order comes first. After the first order no rejection proves that the run has not started, so it is withdrawn then; an order that was sent is not dropped from the queue.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -79,6 +79,7 @@
 # second more before it gives the connection up. The job of an older order may
 # have been answered otherwise meanwhile.
 ORDER_TTL_S = 0.7
+MAX_ORDERS = 3  # of one run, until it is withdrawn
 MAX_UNREPORTED_FAILURES = 100  # more runs than fit on a worker
 
 # Workers report progress in whole per cent. From 5% on, rounding changes the
@@ -473,7 +474,7 @@
         if run is None:
             return
         if answered:
-            self._answer_timeout.observe(now - run.ordered_at)
+            self._answer_timeout.observe(now - run.sent_at)
         elif result is OrderResult.UNANSWERED:
             self._answer_timeout.expired()
         if result is OrderResult.STARTED:
@@ -482,11 +483,18 @@
         if result is OrderResult.UNANSWERED:
             if run.phase is not RunPhase.ORDERED:
                 return
-            self._stop(run, RunEnd.UNANSWERED)
+            if run.orders < MAX_ORDERS and self.accepting(now):
+                self._repeat_order(run, now)
+            else:
+                self._stop(run, RunEnd.UNANSWERED)
             return
         self._log("order-rejected", task=run.task, reason=result.value)
         if run.phase is RunPhase.RUNNING:
             return  # a run listing has already shown that it runs
+        if run.orders > 1:
+            # An earlier order may have started it.
+            self._stop(run, RunEnd.UNANSWERED)
+            return
         if result is OrderResult.OTHER_INCARNATION:
             run.loss = LossCause.NOT_STARTED
         self._finish(run, _REJECTIONS[result], now)
@@ -605,6 +613,12 @@
         session.runs[run.dispatch] = run
         self._capacity.allocate(need)
         self.counts["ordered"] += 1
+        self._order(run, now)
+
+    def _order(self, run: Run, now: float) -> None:
+        """Send the order to start a run to the worker."""
+        run.orders += 1
+        run.sent_at = now
         self._effects.append(
             PlaceOrder(
                 run.key,
@@ -615,6 +629,15 @@
             )
         )
 
+    def _repeat_order(self, run: Run, now: float) -> None:
+        """Send an order without an answer once more.
+
+        The worker starts each run once, whichever of its orders arrives
+        first, also if an earlier one is carried out after the run has ended.
+        """
+        self._log("order-repeated", task=run.task, orders=run.orders)
+        self._order(run, now)
+
     def _task_has_run(self, run: Run) -> bool:
         return any(r.task == run.task for r in self._runs.values())
 
@@ -674,6 +697,8 @@
         for effect in self._effects:
             if isinstance(effect, PlaceOrder) and effect.key == run.key:
                 self._effects.remove(effect)
+                if run.orders > 1:
+                    return False
                 self._finish(run, RunEnd.STOPPED, now)
                 return True
         return False
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -46,7 +46,7 @@
     :param payload: what the worker receives.
     :param need: capacity that the run uses.
     :param expected_s: estimated seconds of work at nominal speed.
-    :param ordered_at: when the order was sent to the worker.
+    :param ordered_at: when its order arrived.
     :param started_at: when the worker was first seen to run it; 0 before.
     :param percent: how much of its work is done.
     :param progressed_at: when ``percent`` last changed.
@@ -61,6 +61,8 @@
     :param useful_by: likewise for the answer of its job to be of use.
     :param loss: why it is lost, if that is how it will be reported.
     :param suspect: whether a worker was lost under the task before.
+    :param orders: how often the worker was ordered to start it.
+    :param sent_at: when the last of these orders was sent.
     """
 
     key: int
@@ -84,6 +86,8 @@
     useful_by: float = 0.0
     loss: LossCause | None = None
     suspect: bool = False
+    orders: int = 0
+    sent_at: float = 0.0
 
     def mark_started(self, now: float) -> None:
         """Record that the worker runs it; only the first call counts."""
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -151,6 +151,58 @@
     assert agent.accepting(NOW + 1.3)
 
 
+@pytest.mark.parametrize(
+    ("answers", "orders", "ends"),
+    [
+        ([OrderResult.UNANSWERED] * 3, 3, ["unanswered"]),
+        ([OrderResult.UNANSWERED, OrderResult.STARTED], 2, []),
+        # The first order may have started it, and may do so still.
+        (
+            [OrderResult.UNANSWERED, OrderResult.OUTDATED],
+            2,
+            ["unanswered"],
+        ),
+        ([OrderResult.UNANSWERED, OrderResult.NO_ROOM], 2, ["unanswered"]),
+        ([OrderResult.UNANSWERED, OrderResult.NOT_SENT], 2, ["unanswered"]),
+        ([OrderResult.NO_ROOM], 1, ["no-room"]),
+    ],
+)
+def test_an_order_left_unanswered_is_sent_again(answers, orders, ends):
+    """Guards against tasks that are held up by one lost answer.
+
+    The run is given up only once it is known that no order started it.
+    """
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    sent = []
+    for n, answer in enumerate(answers):
+        at = NOW + 0.02 * (n + 1)
+        sent += [e for e in agent.turn(at) if isinstance(e, PlaceOrder)]
+        agent.order_answered(sent[-1].key, answer, at)
+    assert len({(e.task, e.run) for e in sent}) == 1
+    assert len(sent) == orders
+    at = NOW + 0.1
+    stops = [e for e in agent.turn(at) if isinstance(e, WithdrawRun)]
+    assert bool(stops) is (ends == ["unanswered"])
+    for stop in stops:
+        agent.stop_answered(stop.key, at)
+        agent.listing_received(RunListing(1, (), ()), at + 0.01, at + 0.01)
+    assert agent.counts["unanswered"] + agent.counts["no-room"] == len(ends)
+
+
+def test_a_run_that_ended_before_its_repeated_order_is_done():
+    """Guards against a second run of a task that is done."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    for result in (OrderResult.UNANSWERED, OrderResult.OUTDATED):
+        orders = [e for e in agent.turn(NOW) if isinstance(e, PlaceOrder)]
+        agent.order_answered(orders[0].key, result, NOW + 0.03)
+    done = EndedRow(1, "j.0.0.0", 1, "done")
+    listing = RunListing(1, (), (done,))
+    agent.listing_received(listing, NOW + 0.02, NOW + 0.04)
+    assert ends_reported_at(agent, NOW + 0.04) == [RunEnd.DONE]
+
+
 def test_an_offer_does_not_outlive_the_room_that_it_was_made_of():
     """Guards against starts beyond a capacity that has shrunk."""
     agent = make_agent("e")
