Explore lost listings, resetting workers and leases of the usual length

Change: two faults; each pair is played with fresh and with settled agents, in the seeded sample too. A worker that resets connections runs on meanwhile. The plant of tokens that stay needs the worker to boot at 0.39 s in place of 0.2: repeated orders delay the withdrawal, so the late order comes later against it.

--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -29,11 +29,16 @@
 
 from briarford.outcomes import Refused
 from briarford.requests import JobRequest
+from briarford.runs.leases import GAP_PERIOD_S
 from fleet.leaving import give_notice
 from fleet.worker import Interval, StandInWorker
 from fleet.world import ROUTE, World, request
 
 MOMENTS_S = (0.0005, 0.002, 0.05, 0.2, 0.39, 0.7, 1.1)
+# Seconds before the jobs: agents have just started and grant long leases, or
+# leases have their usual length.
+FRESH_S = 1.0
+SETTLED_S = GAP_PERIOD_S + 1.0
 SIMULATED_S = 10.0
 REPEAT_DELAY_S = 1.3  # after a broken connection, as clients do
 # Within it a run may still start in an evacuated zone: a heartbeat of an
@@ -53,16 +58,19 @@
 
 
 class Case:
-    """One simulation with some faults."""
+    """One simulation with some faults.
 
-    def __init__(self) -> None:
+    :param settled_s: seconds before the jobs.
+    """
+
+    def __init__(self, settled_s: float = FRESH_S) -> None:
         workers = [
             StandInWorker(f"w{n}", cpu=10_000, zone="ab"[n]) for n in range(2)
         ]
         self.world = World(workers, entries=2, evacuations=True)
         # Each with its zone, its begin and its end.
         self.evacuations: list[tuple[str, float, float]] = []
-        self.world.run(1.0)
+        self.world.run(settled_s)
         self.entry = self.world.entries["e0"]
         self.client_left_at: dict[str, float] = {}
         self.jobs = {"j": "e0", "k": "e1"}
@@ -179,6 +187,22 @@
     case.world.after(1.5, lambda: setattr(case.world, "listing_delay_s", 0.0))
 
 
+@fault
+def listings_lost(case: Case) -> None:
+    case.world.listing_lost = lambda: True
+    case.world.after(
+        0.6, lambda: setattr(case.world, "listing_lost", lambda: False)
+    )
+
+
+@fault
+def worker_resets_connections(case: Case) -> None:
+    """Let a worker run on while each call to it is reset."""
+    name = case.agent.name
+    case.world.resetting.add(name)
+    case.world.after(1.6, lambda: case.world.resetting.discard(name))
+
+
 @fault
 def answers_of_stops_lost(case: Case) -> None:
     case.world.stop_answers_lost = True
@@ -322,13 +346,14 @@
     case.world.cancel(case.entry, "j")
 
 
-def play(*steps: tuple[str, float]) -> list[str]:
+def play(*steps: tuple[str, float], settled_s: float = FRESH_S) -> list[str]:
     """Simulate faults, and return the rules that were broken.
 
     :param steps: names of faults, each with the seconds after the submission
         of the jobs at which it happens.
+    :param settled_s: seconds before the jobs.
     """
-    case = Case()
+    case = Case(settled_s)
     began = case.world.now
     case.submit_jobs()
     for name, moment in steps:
@@ -402,7 +427,7 @@
 
 
 def _play_pair(pair: tuple[tuple[str, float], ...]) -> list[str]:
-    return play(*pair)
+    return play(*pair) + play(*pair, settled_s=SETTLED_S)
 
 
 def main() -> None:
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -17,26 +17,40 @@
 from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
 from fleet import explore
-from fleet.explore import FAULTS, MOMENTS_S, REPEAT_DELAY_S, pairs, play
+from fleet.explore import (
+    FAULTS,
+    FRESH_S,
+    MOMENTS_S,
+    REPEAT_DELAY_S,
+    SETTLED_S,
+    pairs,
+    play,
+)
 from fleet.world import World
 
 SAMPLE = 60
 SEED = 20261204
 
 
+@pytest.mark.parametrize("settled_s", [FRESH_S, SETTLED_S])
 @pytest.mark.parametrize("name", FAULTS)
-def test_one_fault_breaks_no_rule(name):
+def test_one_fault_breaks_no_rule(name, settled_s):
     """Guards against a rule that a single fault breaks at any moment."""
-    broken = {m: found for m in MOMENTS_S if (found := play((name, m)))}
+    broken = {
+        m: found
+        for m in MOMENTS_S
+        if (found := play((name, m), settled_s=settled_s))
+    }
     assert not broken
 
 
+@pytest.mark.parametrize("settled_s", [FRESH_S, SETTLED_S])
 @pytest.mark.parametrize(
     "pair", random.Random(SEED).sample(pairs(), SAMPLE), ids=str
 )
-def test_two_faults_break_no_rule(pair):
+def test_two_faults_break_no_rule(pair, settled_s):
     """Guards against a rule that two faults break in combination."""
-    assert play(*pair) == []
+    assert play(*pair, settled_s=settled_s) == []
 
 
 def plant_overlong_sessions(monkeypatch):
@@ -168,7 +182,7 @@
             "TWICE",
             [
                 ("orders_carried_out_late", 0.0005),
-                ("worker_boots_at_once", 0.2),
+                ("worker_boots_at_once", 0.39),
             ],
         ),
         (
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -141,6 +141,8 @@
     - ``listing_delay_s``: seconds by which run listings arrive late;
     - ``listing_lost``: whether the answer to a request for a run listing is
       lost;
+    - ``resetting``: agents whose worker resets each connection at once, and
+      does nothing;
     - ``stop_answers_lost``: whether workers carry out orders to stop a run
       and their answers are lost;
     - ``leases_count_from_arrival``: whether a worker grants each order a
@@ -182,6 +184,7 @@
         self.crashes: list[tuple[float, set[str]]] = []
         self.listing_delay_s = 0.0
         self.listing_lost: Callable[[], bool] = lambda: False
+        self.resetting: set[str] = set()
         self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
@@ -594,6 +597,14 @@
             core.lease_extended(lease_s, self.now)
         lease_end = self.now + lease_s if lease_s else None
         wait_s = core.listing_wait_s(self.now)
+        if node.name in self.resetting:
+
+            def lost() -> None:
+                core.connection_reset(asked_at, self.now)
+
+            self.after(WORKER_DELAY_S, lambda: self._run_in(node, lost))
+            self.after(LISTING_RETRY_S, lambda: self._watch(node, generation))
+            return
         if self.listing_lost():
 
             def ask_again() -> None:
@@ -678,6 +689,11 @@
         if self.refused_connections and not worker.up:
             self.after(WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT))
             return
+        if node.name in self.resetting:
+            self.after(
+                WORKER_DELAY_S, lambda: answered(OrderResult.UNANSWERED)
+            )
+            return
         if late_by is not None or not worker.up:
             if late_by is not None:
                 self.after(late_by, lambda: execute() and None)
@@ -699,7 +715,7 @@
     ) -> None:
         """Carry out an agent's order to stop a run, once the worker is up."""
         worker, core = self.workers[node.name], node.core
-        if not worker.up:
+        if not worker.up or node.name in self.resetting:
             if core.is_open(order.key):
                 self.after(
                     0.3, lambda: self._withdraw(node, order, generation)
