--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -98,7 +98,8 @@
         )
         self.stopping = False
         self._configuration_read_at = 0.0
-        self._configured = asyncio.Event()
+        # Set once a configuration is in force, or cannot be read.
+        self._configuration_settled = asyncio.Event()
         self._links = EntryLinks(
             self._on_link_open, self._on_messages, self._on_link_closed
         )
@@ -119,7 +120,13 @@
         """
         key, on_read = self._source.key, self._on_configuration_read
         if evacuations is None or not self._cfg.evacuations:
-            return KeyWatch(store, self.clock, key, on_read)
+            return KeyWatch(
+                store,
+                self.clock,
+                key,
+                on_read,
+                on_failure=self._configuration_settled.set,
+            )
         self.core.evacuations.enabled = True
         follower = EvacuationFollower(
             evacuations, self.core.evacuations, self.clock, self._wake
@@ -131,6 +138,7 @@
             on_read,
             evacuations.common_prefix,
             (follower,),
+            self._configuration_settled.set,
         )
 
     async def start(self) -> None:
@@ -143,11 +151,14 @@
     async def wait_until_configured(self, longest_s: float) -> None:
         """Wait until a configuration is in force, but not long.
 
-        Requests that arrive before it would be refused.
+        Requests that arrive before it would be refused. The wait ends as well
+        once the store has failed twice in a row: it may be down for seconds.
+
+        :param longest_s: longest wait in seconds.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(longest_s):
-                await self._configured.wait()
+                await self._configuration_settled.wait()
 
     def apply_settings(self, cfg: FleetSettings) -> None:
         """Use reloaded settings from now on."""
@@ -292,7 +303,7 @@
         if cfg is not None and self.routes.adopt_if_newer(
             cfg, self.clock.now()
         ):
-            self._configured.set()
+            self._configuration_settled.set()
             EVENTS.info(
                 "configuration-in-force",
                 extra={"version": cfg.version, "routes": len(cfg.routes)},
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/key_watch.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/key_watch.py
@@ -35,6 +35,7 @@
     :param prefix: prefix to follow in place of the key, so that other keys
         are read with the same calls; the key begins with it.
     :param others: get all keys of the prefix.
+    :param on_failure: as in :class:`PrefixWatch`.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         on_read: Callable[[KeyValue | None], None],
         prefix: str = "",
         others: Sequence[PrefixFollower] = (),
+        on_failure: Callable[[], None] | None = None,
     ) -> None:
         self._key = key
         self._on_read = on_read
@@ -52,7 +54,12 @@
             WATCH_WAIT_S, REREAD_PERIOD_S, RETRY_DELAY_S, retry_at_once=True
         )
         self._watch = PrefixWatch(
-            store, clock, prefix or key, pace, (self, *others)
+            store,
+            clock,
+            prefix or key,
+            pace,
+            (self, *others),
+            on_failure=on_failure,
         )
 
     async def run(self) -> None:
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/prefix_watch.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/prefix_watch.py
@@ -63,6 +63,7 @@
     :param pace: how often they are read.
     :param followers: get the listings and the changes.
     :param gap_s: returns the seconds between two reads at a time.
+    :param on_failure: called after each failed read but the first of a row.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         pace: WatchPace,
         followers: Sequence[PrefixFollower],
         gap_s: Callable[[float], float] | None = None,
+        on_failure: Callable[[], None] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -80,6 +82,7 @@
         self._pace = pace
         self._followers = followers
         self._gap_s = gap_s
+        self._on_failure = on_failure
         self._revision: int | None = None
         self._relist_at = 0.0
         self._failed = False
@@ -94,6 +97,8 @@
                     "keys-not-read",
                     extra={"prefix": self._prefix, "error": exc.message},
                 )
+                if self._failed and self._on_failure is not None:
+                    self._on_failure()
                 if self._failed or not self._pace.retry_at_once:
                     await asyncio.sleep(self._pace.retry_s)
                 self._failed = True
--- a/packages/briarford/src/briarford/requests/admission.py
+++ b/packages/briarford/src/briarford/requests/admission.py
@@ -32,8 +32,8 @@
 ATTACH_S = 1.0
 REFUSAL_UTILISATION = 0.85  # below it no job is refused for its wait
 
-# In a drain a job is taken if it ends in time on the fastest worker, also if it
-# takes this many times as long as expected. Estimates are off by two fifths.
+# In a drain a job is taken if it ends in time on the fastest worker, also if
+# it takes this many times as long as expected. Estimates are off by 40%.
 STOP_RUN_FACTOR = 1.5
 
 # Room counts as scarce for so long after a job was refused or given up for its
