--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -24,6 +24,7 @@
     RunListing,
     WorkerReport,
 )
+from briarford.runs.contact import LISTING_WAIT_S
 from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
@@ -152,6 +153,8 @@
         self._token_outdated = False
         self._polled_at = 0.0
         self._polled_wait_s = 0.0
+        self._poll_given_up = False
+        self._poll_limit: asyncio.Timeout | None = None
         self._listed_at = 0.0
         self._links = AgentLinks(
             self._on_attach, self._on_messages, self._on_link_closed
@@ -426,8 +429,10 @@
                 continue
             self._polled_at = self._clock.now()
             self._polled_wait_s = self.core.listing_wait_s(self._polled_at)
-            listing = await self._list_runs(self._polled_wait_s)
+            listing = await self._poll_once(self._polled_wait_s)
             if listing is None:
+                if self._poll_given_up:
+                    continue
                 await self._wait_for_change(retry_delay_s)
                 retry_delay_s = min(
                     MAX_LISTING_RETRY_DELAY_S, 2 * retry_delay_s
@@ -437,6 +442,30 @@
             if listing.ended:
                 await asyncio.sleep(END_BATCH_S)
 
+    async def _poll_once(self, wait_s: float) -> RunListing | None:
+        """Read the run listing, and give up early where answers get lost.
+
+        That is where the worker is asked often, or once a hedged request has
+        been answered.
+
+        :param wait_s: seconds that the worker may wait for a run to end.
+        """
+        early = wait_s < LISTING_WAIT_S
+        limit = asyncio.timeout(wait_s + HEDGE_DELAY_S if early else None)
+        was_given_up, self._poll_given_up = self._poll_given_up, False
+        try:
+            async with limit:
+                self._poll_limit = limit
+                listing = await self._list_runs(wait_s)
+        except TimeoutError:
+            self._poll_given_up = True
+            return None
+        finally:
+            self._poll_limit = None
+        if listing is not None and was_given_up:
+            self.core.listing_lost(self._clock.now())
+        return listing
+
     async def _hedge_run_listings(self) -> None:
         """Request the run listing again when an answer is late.
 
@@ -455,6 +484,9 @@
                 await asyncio.sleep(MAX_LISTING_RETRY_DELAY_S)
             else:
                 self.core.listing_lost(self._clock.now())
+                limit = self._poll_limit
+                if limit is not None and not limit.expired():
+                    limit.reschedule(asyncio.get_running_loop().time())
 
     async def _wait_for_change(self, longest_s: float) -> None:
         """Wait until the worker or the token has changed, but not long."""
--- a/packages/briarford-daemon/tests/test_run_listings.py
+++ b/packages/briarford-daemon/tests/test_run_listings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -14,6 +15,7 @@
     RunListing,
     WorkerReport,
 )
+from briarford.runs.contact import LISTING_WAIT_S
 from briarford_daemon.fleet.agent import FleetAgent
 from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import AgentRecord
@@ -91,6 +93,29 @@
     assert (0.0 in worker.waits[1:]) is hedged
 
 
+async def test_a_lost_listing_holds_up_no_later_one():
+    """Guards against ends that are known late beside a lost answer.
+
+    After the first lost answer the worker is asked again as soon as a further
+    one is late, and not when its call has timed out.
+    """
+    worker = FakeWorker(lambda n: n not in (3, 8))
+    at = []
+    list_runs = worker.list_runs
+
+    async def record(*args):
+        at.append(asyncio.get_running_loop().time())
+        return await list_runs(*args)
+
+    worker.list_runs = record
+    async with running(worker) as agent:
+        while len(at) < 16:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        assert agent.core.listing_wait_s(agent.now) < LISTING_WAIT_S
+    gaps = [b - a for a, b in itertools.pairwise(at[6:])]
+    assert max(gaps) < LISTING_WAIT_S
+
+
 class RestartedWorker:
     """Answers only for its second boot, whose report follows a failure."""
 
