--- a/packages/briarford/src/briarford/runs/timeouts.py
+++ b/packages/briarford/src/briarford/runs/timeouts.py
@@ -11,7 +11,7 @@
 
 __all__ = ["AnswerTimeout"]
 
-MIN_TIMEOUT_S = 0.02  # several times the answer of a healthy worker
+MIN_TIMEOUT_S = 0.03  # several times the answer of a healthy worker
 MAX_TIMEOUT_S = 0.12
 # Weights of a new sample, and the multiple of the deviation, of RFC 6298.
 MEAN_WEIGHT = 1 / 8
