--- a/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
@@ -14,7 +14,7 @@
 from typing import Generic, TypeVar
 
 from briarford.exceptions import SettingsError
-from briarford.messages import decode, encode
+from briarford.messages import encode
 from briarford.runs import (
     AgentBatch,
     AgentMessage,
@@ -22,6 +22,7 @@
     EntryBatch,
     EntryMessage,
 )
+from briarford.runs.batches import decode_batch
 from briarford_daemon.frames import (
     CONNECTION_ERRORS,
     FrameConnection,
@@ -69,6 +70,12 @@
         self._connection.send(encode(batch))
 
 
+def _log_unknown(link: int, kinds: Sequence[str]) -> None:
+    """Log the messages of a newer peer that were left out."""
+    for kind in kinds:
+        LOGGER.warning("message-unknown", extra={"link": link, "kind": kind})
+
+
 class AgentLinks:
     """Serves the connections of entries, at an agent.
 
@@ -136,7 +143,9 @@
 
     def frame_received(self, data: bytes) -> None:
         """Pass a batch on."""
-        self._links.handle_batch(self._link, decode(data, EntryBatch))
+        batch, unknown = decode_batch(data, EntryBatch)
+        _log_unknown(self._link, unknown)
+        self._links.handle_batch(self._link, batch)
 
     def connection_closed(self, exc: Exception | None) -> None:
         """Forget the link."""
@@ -264,7 +273,9 @@
 
     def frame_received(self, data: bytes) -> None:
         """Pass a batch on."""
-        self._links.handle_batch(self._link, decode(data, AgentBatch))
+        batch, unknown = decode_batch(data, AgentBatch)
+        _log_unknown(self._link, unknown)
+        self._links.handle_batch(self._link, batch)
 
     def connection_closed(self, exc: Exception | None) -> None:
         """Forget the link."""
--- /dev/null
+++ b/packages/briarford/src/briarford/capabilities.py
@@ -0,0 +1,28 @@
+"""What a process can do, as it tells its peers when a session opens.
+
+During an upgrade two builds run side by side. A peer of an earlier build
+ignores fields that it does not know; what it has to understand is used only
+where it has announced that it does. See docs/design/versions.md.
+"""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = ["BUILD", "CAPABILITIES", "Capability"]
+
+BUILD = "0.2.0"
+
+
+class Capability(enum.StrEnum):
+    """Something that a peer may rely on; sent by its value.
+
+    A value that is not known here belongs to a newer build and is ignored.
+    """
+
+    # Skips kinds of message that it does not know, and takes unknown ends of
+    # runs for lost ones: new kinds and values may be sent to it.
+    SKIPS_UNKNOWN = "skips-unknown"
+
+
+CAPABILITIES = tuple(c.value for c in Capability)
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -92,6 +92,8 @@
     :param evacuated_zones: zones that are closed for new runs; one set for
         all agents, updated in place.
     :param evacuations_sent: as in ``EvacuationPeer``.
+    :param build: of the agent process that answered last; empty if unknown.
+    :param capabilities: that it has announced.
     :param worker_seen: incarnation of the worker in the latest status on the
         open connection that accepted runs; empty if there was none.
     """
@@ -130,6 +132,8 @@
     evacuated_zones: AbstractSet[str] = frozenset()
     evacuations_sent: int = 0
     worker_seen: str = ""
+    build: str = ""
+    capabilities: frozenset[str] = frozenset()
 
     @property
     def service(self) -> str:
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -14,6 +14,7 @@
 
 import xxhash
 
+from briarford.capabilities import BUILD, CAPABILITIES
 from briarford.requests.agents import AgentView, Dispatch
 from briarford.requests.effects import (
     DialAgent,
@@ -211,6 +212,8 @@
             view.connection,
             view.heartbeat_sent_at,
             view.last_ended_number,
+            BUILD,
+            CAPABILITIES,
         )
         self.send(view, attach)
 
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -329,6 +329,10 @@
         agent does not list will not be carried out, and count as lost.
         """
         view.attached = True
+        view.capabilities = frozenset(msg.capabilities)
+        if view.build != msg.build:
+            view.build = msg.build
+            self._log("agent-build", agent=view.name, build=msg.build)
         view.heartbeat_sent_at = msg.sent_at
         self._send_heartbeat(view)
         if msg.incarnation != view.incarnation:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -528,7 +528,7 @@
         if session is not None:
             self._stop_session_runs(session, "entry-restarted")
         if msg.entry not in self._sessions:
-            self._log("session-opened", entry=msg.entry)
+            self._log("session-opened", entry=msg.entry, build=msg.build)
         if not self._sessions.attach(link, msg, now):
             return
         self._statuses.session_changed()
--- a/packages/briarford/src/briarford/runs/losses.py
+++ b/packages/briarford/src/briarford/runs/losses.py
@@ -46,6 +46,11 @@
     SILENT = "silent"  # it may have crashed, or may be cut off
     SURVIVED = "survived"  # it answers again and had not crashed
 
+    @classmethod
+    def _missing_(cls, value: object) -> LossState | None:
+        """Take a state that a newer agent reports for the weakest evidence."""
+        return cls.SILENT if isinstance(value, str) else None
+
 
 class WorkerLoss(Message, frozen=True):
     """Reports the loss of an incarnation of a worker.
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -51,6 +51,14 @@
     REJECTED = "rejected"  # not started: the worker rejects this task
     UNANSWERED = "unanswered"  # no answer to the order, which was withdrawn
 
+    @classmethod
+    def _missing_(cls, value: object) -> RunEnd | None:
+        """Take an end that a newer agent reports for a lost run.
+
+        It is over, whatever its end is called, and its task is started again.
+        """
+        return cls.LOST if isinstance(value, str) else None
+
 
 class LossCause(enum.StrEnum):
     """Why a run was lost, as far as its agent knows."""
@@ -75,6 +83,8 @@
     :param echo: as in :class:`EntryHeartbeat`.
     :param acked: as in :class:`EntryHeartbeat`; an agent that no longer has
         the session numbers ended runs from here on.
+    :param build: of the entry; empty, as sent by earlier builds, if unknown.
+    :param capabilities: as in :class:`briarford.capabilities.Capability`.
     """
 
     entry: str
@@ -82,6 +92,8 @@
     connection: int
     echo: float
     acked: int = 0
+    build: str = ""
+    capabilities: tuple[str, ...] = ()
 
 
 class StartRun(Message, frozen=True, tag="start"):
@@ -178,12 +190,16 @@
         ended and not acknowledged. The agent will never execute any other
         order that was sent before this attachment.
     :param sent_at: seconds on the agent's clock.
+    :param build: of the agent; empty, as sent by earlier builds, if unknown.
+    :param capabilities: as in :class:`briarford.capabilities.Capability`.
     """
 
     agent: str
     incarnation: str
     dispatches: tuple[int, ...]
     sent_at: float
+    build: str = ""
+    capabilities: tuple[str, ...] = ()
 
 
 class WorkerStatus(Message, frozen=True, tag="status"):
--- a/packages/briarford/src/briarford/runs/sessions.py
+++ b/packages/briarford/src/briarford/runs/sessions.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 
+from briarford.capabilities import BUILD, CAPABILITIES
 from briarford.runs.messages import AgentMessage, Attach, Attached
 from briarford.runs.state import Session
 
@@ -97,7 +98,16 @@
         session.demand = None
         self._by_link[link] = session
         known = [*session.runs, *(e.dispatch for e in session.ended)]
-        attached = Attached(self._agent, self._incarnation, tuple(known), now)
+        session.build = msg.build
+        session.capabilities = frozenset(msg.capabilities)
+        attached = Attached(
+            self._agent,
+            self._incarnation,
+            tuple(known),
+            now,
+            BUILD,
+            CAPABILITIES,
+        )
         self._send(session, attached)
         for end in session.ended:
             self._send(session, end)
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -188,6 +188,8 @@
         not urgent.
     :param evacuations_sent: as in ``EvacuationPeer``.
     :param losses_sent: as in ``LossPeer``.
+    :param build: of the entry; empty if unknown.
+    :param capabilities: that the entry has announced on its connection.
     """
 
     entry: str
@@ -209,6 +211,8 @@
     needs_status: bool = False
     evacuations_sent: int = 0
     losses_sent: int = 0
+    build: str = ""
+    capabilities: frozenset[str] = frozenset()
 
     @property
     def last_confirmed_at(self) -> float:
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -133,6 +133,8 @@
         self._runners: list[web.AppRunner] = []
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.settings: dict[str, dict[str, Any]] = {}
+        # By role, the source folders of another build that it is to run.
+        self.builds: dict[str, str] = {}
         self.store = StoreStandIn()
         self.http = aiohttp.ClientSession()
 
@@ -181,6 +183,8 @@
     async def launch(self, role: str) -> None:
         path = self.write_settings(role)
         env = {**os.environ, "BRIARFORD_NODE_FILE": str(path)}
+        if role in self.builds:
+            env["PYTHONPATH"] = self.builds[role]
         with (self._folder / f"{role}.log").open("ab") as log:
             self.processes[role] = await asyncio.create_subprocess_exec(
                 sys.executable,
