Show the builds of a process and its peers in metrics and status

Change: gauges `build-...` and `peers-build-...` of entries and agents; `briarford status` has the build of each entry.

--- a/packages/briarford-cli/src/briarford_cli/job_commands.py
+++ b/packages/briarford-cli/src/briarford_cli/job_commands.py
@@ -110,6 +110,8 @@
     return {
         "entry": answer.body["name"],
         "state": answer.body["status"],
+        # Entries of earlier builds do not say theirs.
+        "build": str(answer.body.get("build", "")),
         "preset": int(state["preset_version"]),
         "workers": int(state["workers"]),
         "queued": int(state["tasks_queued"]),
--- a/packages/briarford-daemon/src/briarford_daemon/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/entry.py
@@ -16,6 +16,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from briarford.capabilities import BUILD
 from briarford.dispatch.entry import EntryCore, EntryEffect, EntryMessage
 from briarford.dispatch.messages import (
     CloseSession,
@@ -206,6 +207,7 @@
         """Return the document of ``GET /v1/status``."""
         return {
             "name": self.settings.name,
+            "build": BUILD,
             "zone": self.settings.zone,
             "incarnation": self.me.incarnation,
             "status": "stopping" if self.leaving else "serving",
--- a/packages/briarford/src/briarford/capabilities.py
+++ b/packages/briarford/src/briarford/capabilities.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
+from collections.abc import Iterable
 
-__all__ = ["BUILD", "CAPABILITIES", "Capability"]
+__all__ = ["BUILD", "CAPABILITIES", "Capability", "count_builds"]
 
 BUILD = "0.2.0"
 
@@ -26,3 +28,12 @@
 
 
 CAPABILITIES = tuple(c.value for c in Capability)
+
+
+def count_builds(peers: Iterable[str]) -> dict[str, float]:
+    """Return the build of this process and those of its peers, as gauges.
+
+    :param peers: the builds of the connected peers; empty if one is unknown.
+    """
+    counts = Counter(f"peers-build-{build or 'unknown'}" for build in peers)
+    return {f"build-{BUILD}": 1.0, **counts}
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Set as AbstractSet
 from typing import Any
 
+from briarford.capabilities import count_builds
 from briarford.evacuations import Evacuations
 from briarford.outcomes import (
     Completed,
@@ -766,6 +767,7 @@
             "agents_known": len(self._agents),
             "agents_attached": sum(v.attached for v in views),
             "agents_usable": sum(v.usable(now) for v in views),
+            **count_builds(v.build for v in views if v.attached),
         }
 
     def _emit(self, effect: EntryEffect) -> None:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -19,6 +19,7 @@
 
 from msgspec.structs import replace
 
+from briarford.capabilities import count_builds
 from briarford.evacuations import Evacuations
 from briarford.runs.capacity import CapacityTracker
 from briarford.runs.contact import WorkerContact
@@ -946,6 +947,7 @@
             "worker_answer_age_s": now - self._contact.answered_at,
             "worker_slowness": self._slowness.factor(now),
             "free_cpu": self._capacity.free_cpu(now),
+            **count_builds(s.build for s in self._sessions.connected()),
         }
 
     # -- helpers ------------------------------------------------------------
--- a/tests/adapter/test_versions.py
+++ b/tests/adapter/test_versions.py
@@ -21,6 +21,7 @@
 import msgspec
 import pytest
 
+from briarford.capabilities import BUILD, count_builds
 from briarford.messages import decode, encode
 from briarford.runs import (
     AgentBatch,
@@ -186,6 +187,18 @@
     assert decode(older, Attach).capabilities == ()
 
 
+@pytest.mark.parametrize(
+    ("peers", "gauges"),
+    [
+        ([], {}),
+        (["", "0.2.0"], {"peers-build-unknown": 1, "peers-build-0.2.0": 1}),
+        (["9.9", "9.9"], {"peers-build-9.9": 2}),
+    ],
+)
+def test_metrics_show_the_builds_of_peers(peers, gauges):
+    assert count_builds(peers) == {f"build-{BUILD}": 1.0, **gauges}
+
+
 @pytest.mark.parametrize(
     "order", [("agent", "entry"), ("entry", "agent")], ids="-".join
 )
