Measure the pace of runs only from listings that come steadily

Cause: read in review of the stragglers: an agent or a worker that was paused for half a second sees little progress for much time in the runs of all jobs, took the worker for slow and would have stopped sound runs. Change: a listing that comes late, or long after the one before, restarts the measurement; a pace covers 80 ms at least (40 before).

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -309,7 +309,9 @@
             self._adopt_restarted_worker(listing, now)
         if listing.born_ms != self.worker.born_ms:
             return
-        self._contact.listed(now)
+        if not self._contact.listed(now, requested_at):
+            for run in self._runs.values():
+                run.restart_pace()
         self._report_loss(
             self._losses.answered(_identity(self.worker), now), now
         )
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -23,6 +23,9 @@
 STOP_RENEWAL_AFTER_S = 0.5
 # The worker sends a requested run listing when a run ends, or after this time.
 LISTING_WAIT_S = 0.2
+# Beyond this time without a listing, or for one, the agent or the worker was
+# paused, and the progress says nothing of the pace in between.
+STEADY_LISTING_S = LISTING_WAIT_S + 0.08
 # The runs that end while an answer is lost are known with the next listing. A
 # worker that loses answers is asked more often for a while, as disturbances
 # last seconds.
@@ -40,6 +43,7 @@
     __slots__ = (
         "_lease_end",
         "_lease_length",
+        "_listed_at",
         "_reset_at",
         "_short_waits_until",
         "answered_at",
@@ -49,6 +53,7 @@
     def __init__(self) -> None:
         self.answered_at = 0.0
         self.refuses = False
+        self._listed_at = 0.0
         self._reset_at = 0.0
         self._short_waits_until = 0.0
         self._lease_end = 0.0
@@ -59,11 +64,21 @@
         self.listed(now)
         self._lease_length.paused()
 
-    def listed(self, now: float) -> None:
-        """Record that the worker has sent its run listing."""
+    def listed(self, now: float, requested_at: float = 0.0) -> bool:
+        """Record that the worker has sent its run listing.
+
+        :param requested_at: when the listing was requested.
+        :return: whether it came soon after its request and the one before.
+        """
+        is_steady = (
+            now - requested_at <= STEADY_LISTING_S
+            and now - self._listed_at <= STEADY_LISTING_S
+        )
+        self._listed_at = now
         self.answered_at = now
         self.refuses = False
         self._reset_at = 0.0
+        return is_steady
 
     def answered(self, now: float) -> None:
         """Record the answer to another call."""
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -25,7 +25,7 @@
 STALL_TIMEOUT_S = 0.7
 # The pace of a run is measured over this share of its expected time.
 PACE_SHARE = 0.12
-MIN_PACE_S = 0.04
+MIN_PACE_S = 0.08
 # Lost answers alone must not count as missing progress.
 MIN_STALL_LISTINGS = 3
 
@@ -105,6 +105,9 @@
         """Measure the present pace, once its progress covers some time.
 
         Progress is listed in whole per cent, so it counts as one more.
+
+        :param percent: its progress.
+        :param now: when that was listed, in Unix seconds.
         """
         expected_s = self.expected_s * self.slowness
         if not self.paced_at:
@@ -117,6 +120,10 @@
         self.pace = total_s / expected_s if expected_s else 0.0
         self.paced_at, self.paced_percent = now, percent
 
+    def restart_pace(self) -> None:
+        """Measure the pace from the next progress on."""
+        self.pace = self.paced_at = 0.0
+
     @property
     def remaining_s(self) -> float:
         """Seconds that it still needs at its present pace."""
--- a/packages/briarford/tests/fleet/test_stragglers.py
+++ b/packages/briarford/tests/fleet/test_stragglers.py
@@ -4,11 +4,18 @@
 
 import pytest
 
-from briarford.runs import Capacity
+from briarford.runs import (
+    Capacity,
+    EntryHeartbeat,
+    RunListing,
+    RunningRow,
+)
+from briarford.runs.effects import WithdrawRun
 from briarford.runs.state import Run, RunPhase, Session
 from briarford.runs.stragglers import find_stragglers, worker_pace
 from fleet.load import play
 from fleet.test_load import MIN_SHARE_CALM
+from fleet.test_run_agent import make_agent, start
 
 NOW = 1000.0
 EXPECTED_S = 0.5
@@ -61,6 +68,35 @@
     assert run.pace == pytest.approx(pace, rel=0.35)
 
 
+@pytest.mark.parametrize(
+    ("listings", "stopped"),
+    [
+        ([(0.2, 0.2), (0.4, 0.4), (0.6, 0.6), (0.8, 0.8)], True),
+        ([(0.2, 0.2), (0.25, 0.8)], False),  # the agent was paused
+        ([(0.2, 0.2), (0.8, 0.8)], False),  # or the worker
+    ],
+    ids=["slow worker", "paused agent", "paused worker"],
+)
+def test_a_pause_is_not_taken_for_a_slow_worker(listings, stopped):
+    """Guards against sound runs that are stopped after a pause."""
+    agent = make_agent("e")
+    tasks = ("j.0.0.0", "k.0.0.0")
+    for n, task in enumerate(tasks):
+        start(agent, task, n + 1)
+    for run in agent._runs.values():
+        run.useful_by = NOW + 9.0
+    found = []
+    for n, (requested_s, at) in enumerate(listings):
+        rows = tuple(RunningRow(t, i + 1, 2 + n) for i, t in enumerate(tasks))
+        agent.listing_received(
+            RunListing(1, rows, ()), NOW + requested_s, NOW + at
+        )
+        agent.handle(0, EntryHeartbeat(NOW + at, 0), NOW + at)
+        found += agent.turn(NOW + at)
+    stops = [e for e in found if isinstance(e, WithdrawRun)]
+    assert bool(stops) is stopped
+
+
 @pytest.mark.parametrize(
     ("paces", "expected"),
     [
