Orders and open runs in a part of their own; progress that goes back

And the explorer (worker_hangs at 4 s, settled agents): a run whose listed progress goes back by one per cent divided by zero in the measurement of its pace, which ended the processing of that listing. Plants of tests patch that part. A pace starts over when progress goes back. The case is red before.

--- a/packages/briarford-daemon/tests/test_unexpected_errors.py
+++ b/packages/briarford-daemon/tests/test_unexpected_errors.py
@@ -26,7 +26,7 @@
     StartRun,
     WorkerReport,
 )
-from briarford.runs.agent import MAX_ORDERS
+from briarford.runs.orders import MAX_ORDERS
 from briarford_daemon import driver
 from briarford_daemon.fleet import tasks
 from briarford_daemon.fleet.agent import FleetAgent
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -21,13 +21,11 @@
 
 from briarford.capabilities import count_builds
 from briarford.evacuations import Evacuations
-from briarford.runs.capacity import CapacityTracker
 from briarford.runs.contact import WorkerContact
 from briarford.runs.demands import by_rank
 from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
-    PlaceOrder,
     RaiseToken,
     SendToEntry,
     WithdrawRun,
@@ -55,11 +53,11 @@
     WorkerStatus,
 )
 from briarford.runs.notices import LeaveNotices
+from briarford.runs.orders import UNANSWERED, RunOrders
 from briarford.runs.sessions import SessionTable
 from briarford.runs.state import Run, RunPhase, Session
 from briarford.runs.status import StatusSchedule
 from briarford.runs.stragglers import Stragglers
-from briarford.runs.timeouts import AnswerTimeout
 from briarford.runs.worker import (
     Capacity,
     EndedRow,
@@ -117,13 +115,8 @@
         self.stopping = False
         self.has_token = False
         self.evacuations = Evacuations(self._log)
-        self._capacity = CapacityTracker(Capacity(0, 0, 0))
         self._failure_guard = FailureGuard()
         self._slowness = Slowness()
-        self._answer_timeout = AnswerTimeout()
-        self._runs: dict[int, Run] = {}
-        self._by_task: dict[tuple[str, int], Run] = {}
-        self._last_key = 0
         self._contact = WorkerContact()
         self._next_heartbeat = 0.0
         self._turn_needed = True
@@ -137,9 +130,10 @@
         self._unknown_runs: dict[tuple[str, int], float] = {}
         self._latest_listing_at = 0.0
         self._effects: list[AgentEffect] = []
+        self._orders = RunOrders(self._effects, self._log, self._report_end)
         self._sessions = SessionTable(name, incarnation, self._send)
-        self._notices = LeaveNotices(self._stop, self._log)
-        self._stragglers = Stragglers(self._stop, self._log)
+        self._notices = LeaveNotices(self._orders.stop, self._log)
+        self._stragglers = Stragglers(self._orders.stop, self._log)
         self._losses = WorkerLosses()
 
     # -- the worker ---------------------------------------------------------
@@ -161,7 +155,7 @@
         elif report.draining != previous.draining:
             self._log("worker-state", draining=report.draining)
         self.worker = report
-        self._capacity.total = report.capacity
+        self._orders.capacity.total = report.capacity
 
     def restore_worker(
         self, report: WorkerReport, slowness: float, now: float
@@ -198,7 +192,7 @@
         if self.worker is None or self.worker.worker != worker:
             return
         self._log("worker-left", worker=worker)
-        self._finish_all(LossCause.WORKER_LEFT, now)
+        self._orders.finish_all(LossCause.WORKER_LEFT)
         self.worker = None
         self._reconciled = False
 
@@ -215,21 +209,17 @@
             if previous.worker == report.worker:
                 self._effects.append(RaiseToken())
             if not previous.draining:
-                runs = self._runs.values()
+                runs = self._orders.all()
                 self._report_loss(
                     self._losses.restarted(_identity(previous), runs, now),
                     now,
                 )
         self._failure_guard = FailureGuard()
         self._slowness = Slowness()
-        self._answer_timeout = AnswerTimeout()
-        self._capacity = CapacityTracker(report.capacity)
         self.acked_end = 0
         self._reconciled = False
         self._contact.joined(now)
-        for run in self._runs.values():
-            self._capacity.allocate(run.need)
-            self._withdraw_after_restart(run)
+        self._orders.worker_replaced(report.capacity)
 
     def _adopt_restarted_worker(self, listing: RunListing, now: float) -> None:
         """Switch to a restarted worker that has not sent a heartbeat yet.
@@ -246,21 +236,6 @@
             )
             self.worker_reported(report, now)
 
-    def _withdraw_after_restart(self, run: Run) -> None:
-        """Stop a run that was ordered before the worker restarted.
-
-        It has most likely ended with the previous incarnation. But a worker
-        executes orders before its first heartbeat, so the order may have
-        reached the new incarnation. The run therefore counts as ended only
-        once the new incarnation has answered the order to stop it and its
-        run listing no longer shows it.
-        """
-        run.phase = RunPhase.STOPPING
-        run.end = RunEnd.LOST
-        run.loss = LossCause.WORKER_RESTARTED
-        run.withdrawn_at = 0.0
-        self._effects.append(WithdrawRun(run.key, run.task, run.run))
-
     def may_extend_lease(self, now: float) -> bool:
         """Whether the next call to the worker may renew its lease.
 
@@ -280,7 +255,7 @@
         repeats_at = min(
             (
                 r.session.last_confirmed_at + CLIENT_RETRY_DELAY_S
-                for r in self._runs.values()
+                for r in self._orders.all()
             ),
             default=math.inf,
         )
@@ -310,7 +285,7 @@
         if listing.born_ms != self.worker.born_ms:
             return
         if not self._contact.listed(now, requested_at):
-            for run in self._runs.values():
+            for run in self._orders.all():
                 run.restart_pace()
         self._report_loss(
             self._losses.answered(_identity(self.worker), now), now
@@ -329,13 +304,13 @@
             self._update_progress(
                 running.task, running.run, running.percent, now
             )
-        for ident, run in list(self._by_task.items()):
+        for ident, run in self._orders.by_task().items():
             if ident in listed or not run.absence_means_ended(requested_at):
                 continue
             run.loss = run.loss or LossCause.NOT_LISTED
             end = run.end if run.withdrawn_at else RunEnd.LOST
-            self._finish(run, end, now)
-        unknown = listed - self._by_task.keys()
+            self._orders.finish(run, end)
+        unknown = listed - self._orders.by_task().keys()
         for ident in self._unknown_runs.keys() - unknown:
             del self._unknown_runs[ident]
         all_known = not unknown
@@ -351,7 +326,7 @@
         first = self.may_extend_lease(now)
         self._contact.refused(now)
         if first:
-            self._log("worker-refused", runs=len(self._runs))
+            self._log("worker-refused", runs=len(self._orders))
             # Entries know what it was running although this process may die
             # before the lease has ended.
             self._report_loss_of_worker(LossState.SILENT, now)
@@ -364,7 +339,7 @@
         renewed = self.may_extend_lease(now)
         self._contact.reset(requested_at, now)
         if renewed and not self.may_extend_lease(now):
-            self._log("worker-resets", runs=len(self._runs))
+            self._log("worker-resets", runs=len(self._orders))
 
     def listing_lost(self, now: float) -> None:
         """Process a request for a run listing without an answer in time."""
@@ -376,7 +351,7 @@
 
     def _process_ended_run(self, row: EndedRow, now: float) -> None:
         """Report an ended run from the worker's list to its entry."""
-        run = self._by_task.get((row.task, row.run))
+        run = self._orders.find(row.task, row.run)
         if run is None:
             self._report_earlier_failure(row)
             return
@@ -384,15 +359,15 @@
         if row.how == "done":
             self._failure_guard.succeeded()
             self._learn_slowness(run, ran_s, now)
-            self._finish(run, RunEnd.DONE, now, ran_s)
+            self._orders.finish(run, RunEnd.DONE, ran_s)
         elif row.how == "failed":
             self._count_failure(run, now)
-            self._finish(run, RunEnd.FAILED, now, ran_s)
+            self._orders.finish(run, RunEnd.FAILED, ran_s)
         elif row.how in _LOST_RUN_REASONS:
             run.loss = LossCause.LEASE_LAPSED
-            self._finish(run, RunEnd.LOST, now, ran_s)
+            self._orders.finish(run, RunEnd.LOST, ran_s)
         else:
-            self._finish(run, run.end, now, ran_s)
+            self._orders.finish(run, run.end, ran_s)
 
     def _report_earlier_failure(self, row: EndedRow) -> None:
         """Report a failed run that a previous process of the agent ordered.
@@ -416,7 +391,7 @@
 
         A run that this agent did not order is stopped as well.
         """
-        run = self._by_task.get((task, number))
+        run = self._orders.find(task, number)
         if run is None:
             self._withdraw_unknown(task, number, now)
             return
@@ -434,7 +409,7 @@
             )
         if run.phase is RunPhase.RUNNING and run.has_stalled(now):
             self._count_failure(run, now)
-            self._stop(run, RunEnd.STALLED)
+            self._orders.stop(run, RunEnd.STALLED)
 
     def _withdraw_unknown(self, task: str, number: int, now: float) -> None:
         """Stop a run that this agent did not order.
@@ -471,43 +446,18 @@
     ) -> None:
         """Process the worker's answer to the order to start a run.
 
-        An order without an answer may still be executed, so it is withdrawn.
+        An order without an answer may still be executed.
 
         :param key: number of the run at this agent.
         """
-        run = self._runs.get(key)
-        if result is not OrderResult.STARTED or not self.accepting(now):
+        run = self._orders.get(key)
+        may_start = self.accepting(now)
+        if result is not OrderResult.STARTED or not may_start:
             self._turn_needed = True
-        answered = result not in _UNANSWERED
-        if answered:
+        if result not in UNANSWERED:
             self._contact.answered(now)
-        if run is None:
-            return
-        if answered:
-            self._answer_timeout.observe(now - run.sent_at)
-        elif result is OrderResult.UNANSWERED:
-            self._answer_timeout.expired()
-        if result is OrderResult.STARTED:
-            run.mark_started(now)
-            return
-        if result is OrderResult.UNANSWERED:
-            if run.phase is not RunPhase.ORDERED:
-                return
-            if run.orders < MAX_ORDERS and self.accepting(now):
-                self._repeat_order(run, now)
-            else:
-                self._stop(run, RunEnd.UNANSWERED)
-            return
-        self._log("order-rejected", task=run.task, reason=result.value)
-        if run.phase is RunPhase.RUNNING:
-            return  # a run listing has already shown that it runs
-        if run.orders > 1:
-            # An earlier order may have started it.
-            self._stop(run, RunEnd.UNANSWERED)
-            return
-        if result is OrderResult.OTHER_INCARNATION:
-            run.loss = LossCause.NOT_STARTED
-        self._finish(run, _REJECTIONS[result], now)
+        if run is not None:
+            self._orders.answered(run, result, self.accepting(now), now)
 
     def stop_answered(self, key: int, now: float) -> None:
         """Process the worker's answer to the order to stop a run.
@@ -518,7 +468,7 @@
 
         :param key: number of the run at this agent.
         """
-        run = self._runs.get(key)
+        run = self._orders.get(key)
         self._contact.answered(now)
         if run is not None:
             run.withdrawn_at = now
@@ -539,7 +489,7 @@
         if not self._sessions.attach(link, msg, now):
             return
         self._statuses.session_changed()
-        self._capacity.close_offer(msg.entry)
+        self._orders.capacity.close_offer(msg.entry)
         for failure in self._unreported_failures:
             self._effects.append(SendToEntry(link, failure))
 
@@ -551,7 +501,7 @@
         """
         session = self._sessions.link_closed(link)
         if session is not None:
-            self._capacity.close_offer(session.entry)
+            self._orders.capacity.close_offer(session.entry)
 
     def handle(self, link: int, msg: EntryMessage, now: float) -> None:
         """Process a message of an entry.
@@ -575,12 +525,12 @@
                 self._start(session, msg, now)
             case StopRun():
                 run = session.runs.get(msg.dispatch)
-                if run is not None and not self._drop_order(run, now):
-                    self._stop(run, RunEnd.STOPPED)
+                if run is not None and not self._orders.drop_unsent(run):
+                    self._orders.stop(run, RunEnd.STOPPED)
             case Demand():
                 session.demand = msg if msg.cpu else None
                 session.start_by = now + msg.slack_s
-                self._capacity.close_offer(session.entry)
+                self._orders.capacity.close_offer(session.entry)
             case Attach():
                 pass
 
@@ -608,61 +558,24 @@
             not session_valid
             or not order_valid
             or not self.accepting(now)
-            or self._task_has_run(run)
+            or self._orders.has_task(run.task)
         ):
             self._report_end(run, RunEnd.UNAVAILABLE, 0.0)
             return
-        fits = self._capacity.fits(need, session.entry, now)
-        self._capacity.close_offer(session.entry)
+        fits = self._orders.capacity.fits(need, session.entry, now)
+        self._orders.capacity.close_offer(session.entry)
         if not fits or self._is_barred_by_trial(run):
             self._report_end(run, RunEnd.NO_ROOM, 0.0)
             return
-        self._last_key += 1
-        run.key = self._last_key
-        self._runs[run.key] = run
-        self._by_task[run.task, run.run] = run
-        session.runs[run.dispatch] = run
-        self._capacity.allocate(need)
         self.counts["ordered"] += 1
-        self._order(run, now)
-
-    def _order(self, run: Run, now: float) -> None:
-        """Send the order to start a run to the worker."""
-        run.orders += 1
-        run.sent_at = now
-        self._effects.append(
-            PlaceOrder(
-                run.key,
-                run.task,
-                run.run,
-                run.payload,
-                now + self._answer_timeout.seconds,
-            )
-        )
-
-    def _repeat_order(self, run: Run, now: float) -> None:
-        """Send an order without an answer once more.
-
-        The worker starts each run once, whichever of its orders arrives
-        first, also if an earlier one is carried out after the run has ended.
-        """
-        self._log("order-repeated", task=run.task, orders=run.orders)
-        self._order(run, now)
-
-    def _task_has_run(self, run: Run) -> bool:
-        return any(r.task == run.task for r in self._runs.values())
+        self._orders.start(run, now)
 
     def _is_barred_by_trial(self, run: Run) -> bool:
         """Whether a task under suspicion would run beside that of another job.
 
         If the worker crashed then, both would be given up for it.
         """
-        return run.suspect and self._trial_job not in ("", run.job)
-
-    @property
-    def _trial_job(self) -> str:
-        """The job of which the worker runs tasks under suspicion."""
-        return next((r.job for r in self._runs.values() if r.suspect), "")
+        return run.suspect and self._orders.trial_job not in ("", run.job)
 
     def accepting(self, now: float) -> bool:
         """Whether the agent accepts new runs for its worker now.
@@ -682,38 +595,12 @@
             return False
         if not self.evacuations.allow_runs(worker.zone):
             return False
-        if self._failure_guard.on_probation and self._runs:
+        if self._failure_guard.on_probation and self._orders:
             return False
         return self._contact.is_responsive(now)
 
     # -- ended runs ---------------------------------------------------------
 
-    def _stop(self, run: Run, end: RunEnd) -> None:
-        """Order the worker to stop a run.
-
-        :param end: how the run is reported once it has ended.
-        """
-        if run.phase is RunPhase.STOPPING:
-            return
-        run.phase = RunPhase.STOPPING
-        run.end = end
-        self._effects.append(WithdrawRun(run.key, run.task, run.run))
-
-    def _drop_order(self, run: Run, now: float) -> bool:
-        """End a run at once if its order has not been sent to the worker yet.
-
-        An order and the message that stops its run may arrive together, after
-        a cut.
-        """
-        for effect in self._effects:
-            if isinstance(effect, PlaceOrder) and effect.key == run.key:
-                self._effects.remove(effect)
-                if run.orders > 1:
-                    return False
-                self._finish(run, RunEnd.STOPPED, now)
-                return True
-        return False
-
     def _stop_session_runs(self, session: Session, reason: str) -> None:
         open_runs = [
             r
@@ -723,24 +610,7 @@
         if open_runs:
             self._log(reason, entry=session.entry, runs=len(open_runs))
         for run in open_runs:
-            self._stop(run, RunEnd.STOPPED)
-
-    def _finish_all(self, cause: LossCause, now: float) -> None:
-        """Report all runs as lost."""
-        for run in list(self._runs.values()):
-            run.loss = cause
-            self._finish(run, RunEnd.LOST, now)
-
-    def _finish(
-        self, run: Run, end: RunEnd, now: float, ran_s: float = 0.0
-    ) -> None:
-        """Release the capacity of an ended run and report its end."""
-        if self._runs.pop(run.key, None) is None:
-            return
-        self._by_task.pop((run.task, run.run), None)
-        run.session.runs.pop(run.dispatch, None)
-        self._capacity.release(run.need)
-        self._report_end(run, end, ran_s)
+            self._orders.stop(run, RunEnd.STOPPED)
 
     def _report_end(self, run: Run, end: RunEnd, ran_s: float) -> None:
         """Report an ended run to its entry, and count and log it."""
@@ -779,9 +649,9 @@
         self._turn_needed = False
         self._expire_sessions(now)
         self._expire_lease(now)
-        runs = self._runs.values()
+        runs = self._orders.all()
         if self._notices.review(self.worker, runs, self._slowness, now):
-            self._capacity.close_offers()
+            self._orders.capacity.close_offers()
         else:
             self._stragglers.review(runs, self._slowness, now)
         if self._has_waiting_demand():
@@ -791,14 +661,15 @@
             self._next_heartbeat = now + HEARTBEAT_PERIOD_S
             for session in self._sessions.connected():
                 self._send_heartbeat(session, now)
-        effects, self._effects = self._effects, []
+        effects = self._effects.copy()
+        self._effects.clear()
         return effects
 
     def next_deadline(self) -> float | None:
         """Return when the next turn is due at the latest."""
         deadlines = (
             self._next_heartbeat,
-            self._capacity.next_expiry(),
+            self._orders.capacity.next_expiry(),
             self._statuses.due,
         )
         return min(at for at in deadlines if at is not None)
@@ -809,16 +680,16 @@
 
     def _expire_lease(self, now: float) -> None:
         """Count all runs as lost once the lease of a silent worker ended."""
-        if not self._runs or not self._contact.lease_has_ended(now):
+        if not self._orders or not self._contact.lease_has_ended(now):
             return
         cause = (
             LossCause.WORKER_REFUSES
             if self._contact.refuses
             else LossCause.WORKER_SILENT
         )
-        self._log("worker-silent", runs=len(self._runs), cause=cause.value)
+        self._log("worker-silent", runs=len(self._orders), cause=cause.value)
         self._report_silence(now)
-        self._finish_all(cause, now)
+        self._orders.finish_all(cause)
 
     def _report_silence(self, now: float) -> None:
         """Report the loss of a worker whose lease has ended without an answer.
@@ -832,7 +703,7 @@
     def _report_loss_of_worker(self, state: LossState, now: float) -> None:
         if self.worker is None or self.worker.draining:
             return
-        runs = self._runs.values()
+        runs = self._orders.all()
         identity = _identity(self.worker)
         self._report_loss(self._losses.lost(identity, state, runs, now), now)
 
@@ -867,14 +738,14 @@
         if not self.accepting(now):
             return
         for session in by_rank(self._sessions.connected()):
-            if self._capacity.has_offer(session.entry):
+            if self._orders.capacity.has_offer(session.entry):
                 continue
-            free = self._capacity.free_cpu(now)
+            free = self._orders.capacity.free_cpu(now)
             need = session.demand.cpu if session.demand else 0
             if need > free:
                 return
             cpu = need if free >= 2 * need else free
-            self._capacity.offer(session.entry, cpu, now)
+            self._orders.capacity.offer(session.entry, cpu, now)
             self._send(session, CapacityOffer(cpu))
 
     def _has_waiting_demand(self) -> bool:
@@ -903,7 +774,9 @@
         if worker is None:
             return WorkerStatus("", "", "", (), False, 0, 0, 0, 0, 1.0, 0)
         free_cpu = (
-            0 if self._has_waiting_demand() else self._capacity.free_cpu(now)
+            0
+            if self._has_waiting_demand()
+            else self._orders.capacity.free_cpu(now)
         )
         return WorkerStatus(
             worker.worker,
@@ -913,22 +786,22 @@
             self.accepting(now),
             worker.capacity.cpu,
             free_cpu,
-            self._capacity.free_memory,
-            self._capacity.free_gpu,
+            self._orders.capacity.free_memory,
+            self._orders.capacity.free_gpu,
             round(self._slowness.factor(now), 2),
             0,
-            self._capacity.spare_cpu,
-            self._trial_job,
+            self._orders.capacity.spare_cpu,
+            self._orders.trial_job,
             worker.born_ms,
         )
 
     def drained(self) -> bool:
         """Whether no run is left on the worker."""
-        return not self._runs
+        return not self._orders
 
     def is_open(self, key: int) -> bool:
         """Whether the run with this key has not ended."""
-        return key in self._runs
+        return key in self._orders
 
     @property
     def reconciled(self) -> bool:
@@ -942,13 +815,13 @@
     def state(self, now: float) -> dict[str, float]:
         """Return the state metrics of the agent, by kind."""
         return {
-            "runs": len(self._runs),
+            "runs": len(self._orders),
             "sessions": len(self._sessions),
             "worker_known": float(self.worker is not None),
             "worker_accepting": float(self.accepting(now)),
             "worker_answer_age_s": now - self._contact.answered_at,
             "worker_slowness": self._slowness.factor(now),
-            "free_cpu": self._capacity.free_cpu(now),
+            "free_cpu": self._orders.capacity.free_cpu(now),
             **count_builds(s.build for s in self._sessions.connected()),
         }
 
@@ -969,17 +842,3 @@
 
 def _identity(report: WorkerReport) -> str:
     return incarnation_of(report.worker, report.born_ms)
-
-
-_UNANSWERED = frozenset({OrderResult.UNANSWERED, OrderResult.NOT_SENT})
-
-_REJECTIONS = {
-    OrderResult.FENCED: RunEnd.UNAVAILABLE,
-    OrderResult.OUTDATED: RunEnd.UNAVAILABLE,
-    OrderResult.LATE: RunEnd.UNAVAILABLE,
-    OrderResult.NO_ROOM: RunEnd.NO_ROOM,
-    OrderResult.BUSY: RunEnd.UNAVAILABLE,
-    OrderResult.INVALID: RunEnd.REJECTED,
-    OrderResult.OTHER_INCARNATION: RunEnd.LOST,
-    OrderResult.NOT_SENT: RunEnd.UNAVAILABLE,
-}
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -110,7 +110,7 @@
         :param now: when that was listed, in Unix seconds.
         """
         expected_s = self.expected_s * self.slowness
-        if not self.paced_at:
+        if not self.paced_at or percent < self.paced_percent:
             self.paced_at, self.paced_percent = now, percent
             return
         passed_s = now - self.paced_at
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -16,6 +16,8 @@
 from briarford.requests.waiting import WaitingTasks
 from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
+from briarford.runs.messages import LossCause
+from briarford.runs.orders import RunOrders
 from fleet import explore
 from fleet.explore import (
     FAULTS,
@@ -74,7 +76,7 @@
     replace_worker = run_agent.RunAgent._replace_worker
 
     def planted(self, report, now):
-        self._finish_all(RunEnd.LOST, now)
+        self._orders.finish_all(LossCause.WORKER_RESTARTED)
         replace_worker(self, report, now)
 
     monkeypatch.setattr(run_agent.RunAgent, "_replace_worker", planted)
@@ -83,22 +85,20 @@
 def plant_assumed_withdrawal(monkeypatch):
     """Plant: an agent counts an unanswered order as not carried out."""
     monkeypatch.setattr(
-        run_agent.RunAgent,
-        "_stop",
-        lambda self, run, end: self._finish(run, end, 0.0),
+        RunOrders, "stop", lambda self, run, end: self.finish(run, end)
     )
 
 
 def plant_early_moves(monkeypatch):
     """Plant: an agent reports a run that has to move before it has ended."""
-    stop = run_agent.RunAgent._stop
+    stop = RunOrders.stop
 
     def planted(self, run, end):
         stop(self, run, end)
         if end is RunEnd.LOST:
-            self._finish(run, end, 0.0)
+            self.finish(run, end)
 
-    monkeypatch.setattr(run_agent.RunAgent, "_stop", planted)
+    monkeypatch.setattr(RunOrders, "stop", planted)
 
 
 def plant_unlimited_attempts(monkeypatch):
--- a/packages/briarford/tests/fleet/test_stragglers.py
+++ b/packages/briarford/tests/fleet/test_stragglers.py
@@ -58,8 +58,19 @@
         ([(0.1, 20)], EXPECTED_S, 0.0),
         ([(0.1, 0), (0.3, 0)], EXPECTED_S, 40.0),
         ([(0.1, 0), (0.3, 0)], 0.0, 0.0),
+        ([(0.1, 20), (0.2, 19), (0.3, 39)], EXPECTED_S, 1.0),
+        ([(0.1, 20), (0.3, 5)], EXPECTED_S, 0.0),
+    ],
+    ids=[
+        "usual",
+        "slow",
+        "too short",
+        "one",
+        "none",
+        "no estimate",
+        "one per cent back",
+        "far back",
     ],
-    ids=["usual", "slow", "too short", "one", "none", "no estimate"],
 )
 def test_the_pace_is_that_of_the_latest_progress(samples, seconds, pace):
     run = make_run(pace=0.0, expected_s=seconds)
@@ -83,7 +94,7 @@
     tasks = ("j.0.0.0", "k.0.0.0")
     for n, task in enumerate(tasks):
         start(agent, task, n + 1)
-    for run in agent._runs.values():
+    for run in agent._orders.all():
         run.useful_by = NOW + 9.0
     found = []
     for n, (requested_s, at) in enumerate(listings):
