--- a/packages/briarford-cli/src/briarford_cli/job_commands.py
+++ b/packages/briarford-cli/src/briarford_cli/job_commands.py
@@ -110,7 +110,7 @@
     return {
         "entry": answer.body["name"],
         "state": answer.body["status"],
-        # Entries of earlier builds do not say theirs.
+        # Missing in answers of builds before 0.2.0.
         "build": str(answer.body.get("build", "")),
         "preset": int(state["preset_version"]),
         "workers": int(state["workers"]),
--- a/packages/briarford/src/briarford/capabilities.py
+++ b/packages/briarford/src/briarford/capabilities.py
@@ -1,4 +1,4 @@
-"""What a process can do, as it tells its peers when a session opens.
+"""The build and the capabilities that processes announce to each other.
 
 During an upgrade two builds run side by side. A peer of an earlier build
 ignores fields that it does not know; what it has to understand is used only
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -451,8 +451,7 @@
         :param key: number of the run at this agent.
         """
         run = self._orders.get(key)
-        may_start = self.accepting(now)
-        if result is not OrderResult.STARTED or not may_start:
+        if result is not OrderResult.STARTED or not self.accepting(now):
             self._turn_needed = True
         if result not in UNANSWERED:
             self._contact.answered(now)
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -23,8 +23,8 @@
 STOP_RENEWAL_AFTER_S = 0.5
 # The worker sends a requested run listing when a run ends, or after this time.
 LISTING_WAIT_S = 0.2
-# Beyond this time without a listing, or for one, the agent or the worker was
-# paused, and the progress says nothing of the pace in between.
+# If a listing takes longer, or comes longer after the one before, the agent or
+# the worker was paused, and the progress does not show the pace.
 STEADY_LISTING_S = LISTING_WAIT_S + 0.08
 # The runs that end while an answer is lost are known with the next listing. A
 # worker that loses answers is asked more often for a while, as disturbances
--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -85,7 +85,7 @@
         return self._by_task.get((task, number))
 
     def by_task(self) -> dict[tuple[str, int], Run]:
-        """Return all runs by task and number; a copy."""
+        """Return a copy of all runs by task and number."""
         return dict(self._by_task)
 
     def has_task(self, task: str) -> bool:
--- a/packages/briarford/src/briarford/runs/stragglers.py
+++ b/packages/briarford/src/briarford/runs/stragglers.py
@@ -4,8 +4,8 @@
 it runs tasks of callers that need them within a second or two. What it runs
 then ends late, while the other workers would end it in time.
 
-The estimate of one job is off by a factor of two and more, so a slow run alone
-says little. Several jobs at once, all slower than the worker was when their
+The estimate of one job is off by a factor of two and more, so one slow run is
+weak evidence. Several jobs at once, all slower than the worker was when their
 tasks were placed, show that the worker is slow.
 """
 
