Close the stand-in peer's writer when it is cancelled

Cause: on Python 3.11.6 StreamWriter.__del__ raises 'Event loop is closed' for a writer that is still open when the loop ends. Peer.serve left its writer open when it was cancelled, so tests of briarford-daemon fail there; later Pythons only warn.

Change: the loop of Peer.serve is in a try, and the finally closes the writer. No assert, bound, filter or skip changes.

--- a/packages/briarford-daemon/tests/test_http_client.py
+++ b/packages/briarford-daemon/tests/test_http_client.py
@@ -42,19 +42,21 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        while True:
-            try:
-                head = await reader.readuntil(b"\r\n\r\n")
-            except asyncio.IncompleteReadError:
-                break
-            self.requests.append(head)
-            answer = self.answers.pop(0) if self.answers else b""
-            if answer is None:
-                await asyncio.Event().wait()
-            if not answer:
-                break
-            writer.write(answer)
-        writer.close()
+        try:
+            while True:
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    break
+                self.requests.append(head)
+                answer = self.answers.pop(0) if self.answers else b""
+                if answer is None:
+                    await asyncio.Event().wait()
+                if not answer:
+                    break
+                writer.write(answer)
+        finally:
+            writer.close()
 
 
 @contextlib.asynccontextmanager
