--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -397,6 +397,7 @@
         self._server = HttpServer(self._handle)
         self._tasks: list[asyncio.Task[None]] = []
         self._end_seen = asyncio.Event()
+        self._known = False
 
     async def boot(self, first_report_after_s: float = 0.0) -> None:
         """Start, at the address of the previous boot if there was one."""
@@ -405,6 +406,7 @@
         self.booted_at = time.monotonic()
         self.token = self.sequence = self.last_end = 0
         self.lease_until = 0.0
+        self._known = False
         self.highest.clear()
         self.ended.clear()
         self._server = HttpServer(self._handle)
@@ -465,8 +467,9 @@
         status, _ = await request(
             self.control, "PUT", path, body, timeout_s=1.0
         )
-        if self.sequence == 1:
-            self.record.add(f"{self.name} reports for the first time")
+        if not self._known:
+            self._known = True
+            self.record.add(f"{self.name} has reported for the first time")
         if status != 200:
             self.record.add(f"{self.name} reports and gets {status}")
 
