--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -10,6 +10,7 @@
 import base64
 import contextlib
 import json
+import random
 import socket
 import struct
 import time
@@ -398,6 +399,20 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._end_seen = asyncio.Event()
         self._known = False
+        self.late_share = 0.0
+        self.late_orders: list[Call] = []
+        self.order_left = asyncio.Event()
+
+    def carry_out_late(self) -> None:
+        """Carry out the orders that got no answer, after all others."""
+        while self.late_orders:
+            call = self.late_orders.pop(0)
+            status, answer = self._order(call)
+            task = call.body()["task"]
+            self.record.add(
+                f"{self.name} carries out the late order of {task}:"
+                f" {status} {answer}"
+            )
 
     async def boot(self, first_report_after_s: float = 0.0) -> None:
         """Start, at the address of the previous boot if there was one."""
@@ -500,6 +515,24 @@
         self._advance()
         if call.headers.get("expected-instance", self.name) != self.name:
             return 421, self._stamp({})
+        if call.path.endswith("/hold"):
+            body = call.body()
+            if body["fencing_token"] < self.token:
+                return 409, self._stamp({"reason": "fence"})
+            self.token = body["fencing_token"]
+            return await self._hold(body)
+        if call.path.endswith("/run-start") and (
+            random.random() < self.late_share
+        ):
+            task = call.body()["task"]
+            self.record.add(f"{self.name} leaves an order of {task} for later")
+            self.late_orders.append(call)
+            self.order_left.set()
+            return None
+        return self._order(call)
+
+    def _order(self, call: Call) -> Answer:
+        """Carry out an order to start or stop a run."""
         body = call.body()
         if body["fencing_token"] < self.token:
             return 409, self._stamp({"reason": "fence"})
@@ -509,8 +542,6 @@
                 return self._start(body)
             case "run-stop":
                 return self._stop(body)
-            case "hold":
-                return await self._hold(body)
         return 404, {}
 
     def _stamp(self, body: dict[str, Any]) -> dict[str, Any]:
