--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,14 @@
 import asyncio
 from pathlib import Path
 
-from stand_ins import LinkProxy, Work, read_message, reset, send_request
+from stand_ins import (
+    LinkProxy,
+    Work,
+    read_message,
+    reset,
+    send_request,
+    wait_for_any,
+)
 from system import (
     CLIENT,
     PREFIX,
@@ -43,16 +50,19 @@
     job = new_id()
     system.work[job] = Work(3000, WORK_S)
     body = job_body([step(1, cpu=3000, estimated_ms=int(WORK_S * 1000))])
+    for worker in system.workers:
+        worker.has_started.clear()
     record.add(f"client sends {job} to {first.name}")
     reader, writer = await send_request(
         first.address, "POST", PREFIX + job, body, CLIENT
     )
+    await wait_for_any([w.has_started for w in system.workers])
     await asyncio.sleep(RESET_AFTER_S)
     running = [n for n, w in enumerate(system.workers) if w.runs]
     record.add(f"it runs on {[system.workers[n].name for n in running]}")
     if trouble:
-        count = sum(proxies[n].reset_all() for n in running)
         reset(writer)
+        count = sum(proxies[n].reset_all() for n in running)
         record.add(
             f"reset at {first.name}: the connection of the client and"
             f" {count} of {len(proxies)} to agents"
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -402,6 +402,7 @@
         self.late_share = 0.0
         self.late_orders: list[Call] = []
         self.order_left = asyncio.Event()
+        self.has_started = asyncio.Event()  # a run, since it was cleared
 
     def carry_out_late(self) -> None:
         """Carry out the orders that got no answer, after all others."""
@@ -576,6 +577,7 @@
         )
         self.runs[task] = run
         self.history.append(run)
+        self.has_started.set()
         self.record.add(f"{self.name} started {task} run {number}")
         return 200, self._stamp({})
 
@@ -613,6 +615,14 @@
         return min(99, int(share * 100))
 
 
+async def wait_for_any(events: list[asyncio.Event]) -> None:
+    """Wait until one of the events is set, for five seconds at most."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, timeout=5.0, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 class LinkProxy:
     """Forwards connections to one address, and can reset them all.
 
