Log stops that an entry requests and an agent receives

Four hypotheses fit: the entry dropped the StopRun as it had no connection; it was written to a broken one; the agent got it and the worker did not carry it out; it was late. Neither side logged a stop. Change: the entry logs stop-requested with whether it is connected to the agent, the agent stop-received.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -557,8 +557,16 @@
     def _stop_run(self, task: Task) -> None:
         """Ask the agent of a placed task to stop its run."""
         view = self._agents.get(task.agent)
-        if view is not None and task.dispatch in view.dispatches:
-            self._agents.send(view, StopRun(task.dispatch))
+        if view is None or task.dispatch not in view.dispatches:
+            return
+        self._log(
+            "stop-requested",
+            task=task.name,
+            run=task.last_run,
+            agent=view.name,
+            connected=view.link is not None,
+        )
+        self._agents.send(view, StopRun(task.dispatch))
 
     # -- turns --------------------------------------------------------------
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -523,9 +523,7 @@
                     session.last_payload = msg.payload
                 self._start(session, msg, now)
             case StopRun():
-                run = session.runs.get(msg.dispatch)
-                if run is not None and not self._orders.drop_unsent(run):
-                    self._orders.stop(run, RunEnd.STOPPED)
+                self._stop_requested(session, msg)
             case Demand():
                 session.demand = msg if msg.cpu else None
                 session.start_by = now + msg.slack_s
@@ -533,6 +531,15 @@
             case Attach():
                 pass
 
+    def _stop_requested(self, session: Session, msg: StopRun) -> None:
+        """Stop a run that its entry has no use for; it may have ended."""
+        run = session.runs.get(msg.dispatch)
+        if run is None:
+            return
+        self._log("stop-received", task=run.task, run=run.run)
+        if not self._orders.drop_unsent(run):
+            self._orders.stop(run, RunEnd.STOPPED)
+
     def _start(self, session: Session, msg: StartRun, now: float) -> None:
         """Order a run from the worker, or report why it cannot start."""
         need = Capacity(msg.cpu, msg.memory_mb, msg.gpu)
