Repeat stops when a session is resumed

Cause: the entry sends StopRun once. It is dropped while there is no connection to the agent and lost with one that breaks. The resumed session goes on confirming the run, so neither session nor lease ends it. Change: link_up sends a stop for each order whose run serves no open job, right behind Attach. Both leave in one frame, so whatever resumes the session brings the stops; if the frame is lost the session is not prolonged and expires 0.9 s after the last echo, before a client repeats.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 soak: .venv/.installed
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
 
-# All pairs of faults at all of some moments, against the cores of the fleet.
+# All pairs of faults at all of some moments, against the cores of the fleet;
+# only those with one of some faults: make explore FAULTS="client_is_reset"
+FAULTS ?=
 explore: .venv/.installed
-	PYTHONPATH=packages/briarford/tests $(BIN)/python -m fleet.explore
+	PYTHONPATH=packages/briarford/tests $(BIN)/python -m fleet.explore $(FAULTS)
--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -37,6 +37,12 @@
     sent_at: float
     incarnation: str = ""
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether its run still serves a job, which has no outcome yet."""
+        task = self.task
+        return task.dispatch == self.number and not task.job.ended
+
 
 class AgentView(msgspec.Struct, eq=False):
     """One agent, its connection and its worker, as the entry knows them.
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -23,7 +23,7 @@
     EntryEvent,
     SendToAgent,
 )
-from briarford.runs import AgentAddress, Attach, EntryMessage
+from briarford.runs import AgentAddress, Attach, EntryMessage, StopRun
 from briarford.runs.leases import LEASE_S
 from briarford.runs.state import SESSION_TTL_S
 
@@ -184,7 +184,10 @@
     def link_up(self, agent: str, link: int, now: float) -> None:
         """Send the first message on a connection that has been opened.
 
-        It resumes the session of this process with the agent or opens one.
+        It resumes the session of this process with the agent or opens one. An
+        order to stop a run may have been lost with the previous connection,
+        and the session keeps the runs going, so all of them are sent again
+        together with the attachment.
 
         :param agent: name of the agent.
         :param link: number of the connection.
@@ -216,6 +219,11 @@
             CAPABILITIES,
         )
         self.send(view, attach)
+        unwanted = [d for d in view.dispatches.values() if not d.is_wanted]
+        for dispatch in unwanted:
+            self.send(view, StopRun(dispatch.number))
+        if unwanted:
+            self._log("stops-repeated", agent=agent, runs=len(unwanted))
 
     def link_down(self, agent: str, link: int | None, now: float) -> None:
         """Record that a connection ended or could not be opened.
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -17,6 +17,8 @@
   after the client of its job has left.
 
     PYTHONPATH=packages/briarford/tests .venv/bin/python -m fleet.explore
+
+Names of faults after it limit the pairs to those with one of them.
 """
 
 from __future__ import annotations
@@ -24,7 +26,7 @@
 import itertools
 import sys
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from concurrent.futures import ProcessPoolExecutor
 
 from briarford.outcomes import Refused
@@ -96,9 +98,11 @@
 
     def repeat_job(self) -> None:
         """Submit the first job again, at the other entry, if unanswered."""
-        if not self.repeated and "j" not in self.world.outcomes:
-            self.repeated = True
-            self.world.submit(self.world.entries["e1"], _first_job())
+        if self.repeated or "j" in self.world.outcomes:
+            return
+        self.repeated = True
+        self.jobs["j"] = "e1"
+        self.world.submit(self.world.entries["e1"], _first_job())
 
 
 def _first_job() -> JobRequest:
@@ -340,6 +344,36 @@
     case.world.after(3.5, lambda: case.world.store_cuts.discard("e1"))
 
 
+@fault
+def connection_goes_silent(case: Case) -> None:
+    """Lose what entry and agent send on their connection; new ones work."""
+    case.world.silence("e0", case.agent.name)
+    case.world.silence(case.agent.name, "e0")
+
+
+@fault
+def agent_is_not_heard(case: Case) -> None:
+    """Lose only what the agent sends on its connection to the entry."""
+    case.world.silence(case.agent.name, "e0")
+
+
+@fault
+def redials_refused(case: Case) -> None:
+    """Reset a connection and refuse new ones to the agent for a while."""
+    agent = case.agent.name
+    case.world.refused_dials.add(agent)
+    case.world.reset("e0", agent)
+    case.world.after(0.6, lambda: case.world.refused_dials.discard(agent))
+
+
+@fault
+def client_is_reset(case: Case) -> None:
+    """Reset a client's connection; it repeats its request elsewhere."""
+    if "j" not in case.world.outcomes:
+        case.world.client_leaves(case.entry, "j")
+        case.world.after(REPEAT_DELAY_S, case.repeat_job)
+
+
 @fault
 def client_leaves(case: Case) -> None:
     case.client_left_at["j"] = case.world.now
@@ -420,10 +454,18 @@
     return any(ident in w.acknowledged for w in world.workers.values())
 
 
-def pairs() -> list[tuple[tuple[str, float], ...]]:
-    """Return all pairs of faults, each fault at each of the moments."""
+def pairs(names: Collection[str] = ()) -> list[tuple[tuple[str, float], ...]]:
+    """Return all pairs of faults, each fault at each of the moments.
+
+    :param names: faults of which each pair has at least one; empty for all.
+    """
     steps = list(itertools.product(FAULTS, MOMENTS_S))
-    return [(one, other) for one in steps for other in steps if one <= other]
+    return [
+        (one, other)
+        for one in steps
+        for other in steps
+        if one <= other and (not names or one[0] in names or other[0] in names)
+    ]
 
 
 def _play_pair(pair: tuple[tuple[str, float], ...]) -> list[str]:
@@ -431,8 +473,12 @@
 
 
 def main() -> None:
-    """Simulate all pairs, and exit with status 1 if any broke a rule."""
-    todo = pairs()
+    """Simulate the pairs, and exit with status 1 if any broke a rule."""
+    names = sys.argv[1:]
+    unknown = [n for n in names if n not in FAULTS]
+    if unknown:
+        sys.exit(f"no fault is named {', '.join(unknown)}")
+    todo = pairs(names)
     broken = 0
     with ProcessPoolExecutor(PROCESSES) as pool:
         results = pool.map(_play_pair, todo, chunksize=16)
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -13,6 +13,7 @@
 
 from briarford.evacuations import Evacuations
 from briarford.requests import attachments, dispatcher
+from briarford.requests.agents import Dispatch
 from briarford.requests.waiting import WaitingTasks
 from briarford.runs import RunEnd, state
 from briarford.runs import agent as run_agent
@@ -101,6 +102,11 @@
     monkeypatch.setattr(RunOrders, "stop", planted)
 
 
+def plant_stops_sent_once(monkeypatch):
+    """Plant: an entry does not repeat stops on a new connection."""
+    monkeypatch.setattr(Dispatch, "is_wanted", True)
+
+
 def plant_unlimited_attempts(monkeypatch):
     """Plant: an entry starts a task again however often it has failed."""
     monkeypatch.setattr(
@@ -165,6 +171,11 @@
         (plant_early_loss, "TWICE", [("agent_freezes", 0.2)]),
         (plant_assumed_withdrawal, "TWICE", [("orders_carried_out_late", 0)]),
         (plant_early_moves, "TWICE", [("worker_leaves", 0.2)]),
+        (
+            plant_stops_sent_once,
+            "TWICE",
+            [("client_is_reset", 0.2), ("links_reset", 0.2)],
+        ),
         (plant_unlimited_attempts, "BUDGET", [("all_workers_fail", 0.0005)]),
         (
             plant_unreported_failures,
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -0,0 +1,87 @@
+"""Messages that are sent once, and are lost at the worst moment.
+
+docs/design/lost-messages.md lists them all with what repairs each loss.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.outcomes import Completed
+from fleet.explore import REPEAT_DELAY_S
+from fleet.worker import StandInWorker
+from fleet.world import World, request
+
+WORK_S = 1.8
+
+
+def make_world(workers: int = 2) -> World:
+    world = World([StandInWorker(f"w{n}") for n in range(workers)])
+    world.run(1.0)
+    return world
+
+
+def busiest(world: World) -> str:
+    """Return the agent whose worker has the most runs."""
+    return max(world.workers, key=lambda name: len(world.workers[name].runs))
+
+
+def reset(world: World, agent: str) -> None:
+    world.reset("e0", agent)
+
+
+def silence(world: World, agent: str) -> None:
+    world.silence("e0", agent)
+    world.silence(agent, "e0")
+
+
+def refuse_redials(world: World, agent: str) -> None:
+    reset(world, agent)
+    world.refused_dials.add(agent)
+    world.after(0.6, lambda: world.refused_dials.discard(agent))
+
+
+def pause_agent(world: World, agent: str) -> None:
+    world.freeze(world.agents[agent], 0.4)
+    reset(world, agent)
+
+
+def pause_entry(world: World, agent: str) -> None:
+    world.freeze(world.entries["e0"], 0.4)
+    reset(world, agent)
+
+
+def reset_twice(world: World, agent: str) -> None:
+    """Lose the repeated order as well, just before it arrives."""
+    reset(world, agent)
+    world.after(0.004, lambda: reset(world, agent))
+
+
+LOSSES = [
+    reset,
+    silence,
+    refuse_redials,
+    pause_agent,
+    pause_entry,
+    reset_twice,
+]
+
+
+@pytest.mark.parametrize("moment", [0.0005, 0.01, 0.05, 0.2, 0.39])
+@pytest.mark.parametrize("lose", LOSSES, ids=lambda f: f.__name__)
+def test_a_stop_that_is_lost_with_its_connection_is_repeated(lose, moment):
+    """Guards against a cancelled run that goes on beside its repeat.
+
+    The client and the connection to the agent are reset together; the entry
+    resumes its session, and the client repeats its request elsewhere.
+    """
+    world = make_world()
+    world.submit(world.entries["e0"], request("j", count=1, work_s=WORK_S))
+    world.run(moment)
+    world.client_leaves(world.entries["e0"], "j")
+    lose(world, busiest(world))
+    world.run(REPEAT_DELAY_S)
+    world.submit(world.entries["e1"], request("j", count=1, work_s=WORK_S))
+    world.run(4.0)
+    assert not world.overlaps()
+    assert isinstance(world.outcomes["j"][1], Completed)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -117,6 +117,8 @@
     """A connection of an entry to an agent.
 
     :param held: receivers and deliveries that wait for the end of a cut.
+    :param silenced: names of the processes of which nothing arrives on this
+        connection any more, not even its end.
     """
 
     number: int
@@ -124,6 +126,7 @@
     agent: Node
     open: bool = True
     held: list[_Held] = field(default_factory=list)
+    silenced: set[str] = field(default_factory=set)
 
 
 class World:
@@ -135,6 +138,8 @@
     - ``store_cuts``: names of the processes that cannot read the operators'
       requests to evacuate zones;
     - ``addresses``: addresses that the registry gives for agents;
+    - ``refused_dials``: names of the agents to which no new connection can be
+      opened;
     - ``unanswered_order_delay``: for the name of a task, the seconds after
       which the worker carries out an order to start it, while the agent gets
       no answer; None for an order that arrives and is answered at once;
@@ -177,6 +182,7 @@
         self.store_cuts: set[str] = set()
         self.sent: Counter[type] = Counter()
         self.dials: Counter[str] = Counter()  # by name of the agent
+        self.refused_dials: set[str] = set()
         self.addresses: dict[str, AgentAddress] = {}
         self.leases_count_from_arrival = False
         self.deadly: dict[str, float] = {}
@@ -188,6 +194,8 @@
         self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
+        # Entries and jobs of which no client gets the outcome.
+        self.disconnected: set[tuple[str, str]] = set()
         self.refused: dict[str, Outcome] = {}
         self.refused_at: dict[str, float] = {}
         self.foreign_payloads: list[str] = []
@@ -389,6 +397,21 @@
         """Hold all messages between two processes, until :meth:`heal`."""
         self.cuts |= {(one, other), (other, one)}
 
+    def silence(self, sender: str, receiver: str) -> None:
+        """Lose all that a process sends on its open connection to another.
+
+        Neither end is reset, and new connections work.
+        """
+        for link in self.links.values():
+            if {link.entry.name, link.agent.name} == {sender, receiver}:
+                link.silenced.add(sender)
+
+    def reset(self, one: str, other: str) -> None:
+        """Reset the connection of two processes; both ends notice it."""
+        for link in list(self.links.values()):
+            if {link.entry.name, link.agent.name} == {one, other}:
+                self._close(link)
+
     def heal(self) -> None:
         """End all cuts and deliver the messages held on open connections."""
         self.cuts.clear()
@@ -458,7 +481,7 @@
             case DropLink(number):
                 link_ = self.links.get(number)
                 if link_ is not None:
-                    self._close(link_)
+                    self._close(link_, node.name)
             case PlaceOrder():
                 self._place(node, effect)
             case WithdrawRun():
@@ -466,7 +489,8 @@
             case RaiseToken():
                 self._raise_token(node, node.generation)
             case JobEnded(job, outcome):
-                self.outcomes[job] = (self.now, outcome)
+                if (node.name, job) not in self.disconnected:
+                    self.outcomes[job] = (self.now, outcome)
             case AgentEvent(action, fields) | EntryEvent(action, fields):
                 node.events.append((self.now, action, fields))
 
@@ -485,7 +509,8 @@
         """Open a connection, or report a failure after a time-out."""
         generation = entry.generation
         self.dials[agent.name] += 1
-        if (entry.name, agent.name) in self.cuts or not agent.up:
+        is_cut = (entry.name, agent.name) in self.cuts
+        if is_cut or agent.name in self.refused_dials or not agent.up:
             refused = agent.name
 
             def fail() -> None:
@@ -501,14 +526,19 @@
             lambda: entry.core.link_up(agent.name, link.number, self.now),
         )
 
-    def _close(self, link: Link) -> None:
-        """Close a connection and report that to both ends."""
+    def _close(self, link: Link, by: str = "") -> None:
+        """Close a connection and report that to both ends.
+
+        :param by: name of the process that closes it; empty for a reset. If
+            nothing of that process arrives, its peer does not notice.
+        """
         if not link.open:
             return
         link.open = False
         self.links.pop(link.number, None)
         entry, agent = link.entry, link.agent
-        if entry.up:
+        unnoticed = by in link.silenced
+        if entry.up and not (unnoticed and by == agent.name):
             name = agent.name
             self.after(
                 DELAY_S,
@@ -517,7 +547,7 @@
                     lambda: entry.core.link_down(name, link.number, self.now),
                 ),
             )
-        if agent.up:
+        if agent.up and not (unnoticed and by == entry.name):
             self.after(
                 DELAY_S,
                 lambda: self._run_in(
@@ -531,6 +561,8 @@
         if link is None or not link.open:
             return
         self.sent[type(message)] += 1
+        if sender.name in link.silenced:
+            return
         receiver = link.agent if sender is link.entry else link.entry
 
         def receive() -> None:
@@ -789,7 +821,11 @@
         self._turn(entry)
 
     def client_leaves(self, entry: Node, job: str) -> None:
-        """Close a client's connection, which a frozen entry notices later."""
+        """Close a client's connection, which a frozen entry notices later.
+
+        From now on no outcome of that entry reaches the client.
+        """
+        self.disconnected.add((entry.name, job))
         self.after(
             DELAY_S,
             lambda: self._run_in(
