Expire the demand of an entry whose session has expired

Seen by callers: jobs at other entries are refused or wait although a worker has room for them. Cause: an entry withdraws its demand once. An entry that loses power, or whose connection goes silent without a reset, withdraws nothing, and the agent keeps the demand until the kernel gives the connection up, minutes later. It reports no free capacity meanwhile, and offers what is free to the lost entry first; if that needs more than is free, nobody is offered any. Evidence: test_a_demand_that_cannot_be_withdrawn_expires: 'next' is refused with 'no worker had room in time' beside 3 of 4 processors that stay idle.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -681,8 +681,13 @@
         return min(at for at in deadlines if at is not None)
 
     def _expire_sessions(self, now: float) -> None:
+        """Stop the runs of silent entries, and reserve nothing for them."""
         for session in self._sessions.collect_expired(now):
             self._stop_session_runs(session, "session-expired")
+            if session.demand is not None:
+                self._log("demand-expired", entry=session.entry)
+                session.demand = None
+                self._orders.capacity.close_offer(session.entry)
 
     def _expire_lease(self, now: float) -> None:
         """Count all runs as lost once the lease of a silent worker ended."""
--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -109,3 +109,32 @@
     world.run(3.0)
     assert not world.overlaps()
     assert isinstance(world.outcomes["j"][1], Completed)
+
+
+@pytest.mark.parametrize("lose", ["power_off", "silence"])
+def test_a_demand_that_cannot_be_withdrawn_expires(lose):
+    """Guards against capacity that is kept for an entry that is gone.
+
+    Tasks of both entries wait for the only worker. One entry loses power, or
+    is not heard any more; its demand, the more urgent one, needs more than
+    what becomes free.
+    """
+    world = make_world(1)
+    first, second = world.entries["e0"], world.entries["e1"]
+    world.workers["a0"].cpu = 4000
+    world.report("a0")
+    world.run(0.1)
+    world.submit(second, request("long", count=1, work_s=2.5, cpu=1000))
+    world.submit(second, request("short", count=1, work_s=0.5, cpu=3000))
+    world.run(0.05)
+    world.submit(first, request("big", count=1, work_s=0.4, cpu=4000))
+    world.run(0.05)
+    world.submit(second, request("next", count=1, work_s=0.4, cpu=3000))
+    world.run(0.05)
+    if lose == "power_off":
+        world.power_off(first)
+    else:
+        silence(world, "a0")
+        world.refused_dials.add("a0")
+    world.run(2.0)
+    assert isinstance(world.outcomes["next"][1], Completed)
