End the lease of a run whose stop the worker does not confirm

Cause: the order is repeated until the worker confirms it, but each run listing renews the lease of all runs meanwhile. The lease covered lost entries only: it ends before clients of an entry that is no longer heard may repeat. Change: from the request to stop a run until its confirmation the lease ends before the client repeats, counted from the last sign of the entry before the request.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -64,7 +64,9 @@
 # Runs of one job end within milliseconds; the next request waits for them,
 # so that one answer reports them all.
 END_BATCH_S = 0.004
-WITHDRAW_RETRY_DELAY_S = 0.1
+WITHDRAW_PERIOD_S = (
+    0.1  # between orders to stop a run, unless one takes longer
+)
 DRAIN_POLL_PERIOD_S = 0.05
 MS_PER_S = 1000
 # Part of ``stop_within_s`` that is kept for closing the connections.
@@ -391,7 +393,9 @@
         while (worker := self.core.worker) is not None:
             if not self.core.has_token:
                 return
-            answers = self.core.may_extend_lease(self._clock.now())
+            now = self._clock.now()
+            retry_at = now + WITHDRAW_PERIOD_S
+            answers = self.core.may_extend_lease(now)
             if answers and await self._confirm_stop(worker, order):
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
@@ -400,7 +404,7 @@
                 return
             if not self.core.is_open(order.key):
                 return
-            await asyncio.sleep(WITHDRAW_RETRY_DELAY_S)
+            await asyncio.sleep(max(0.0, retry_at - self._clock.now()))
 
     async def _confirm_stop(
         self, worker: WorkerReport, order: WithdrawRun
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -250,13 +250,12 @@
         An entry may have died after its last heartbeat, and this process may
         die before it stops the runs of that entry. The lease therefore ends
         before the clients of any entry with runs here would repeat their
-        requests at another entry.
+        requests at another entry. An order to stop a run may not reach the
+        worker: until it is confirmed, the lease ends before the client of
+        that run repeats its request.
         """
         repeats_at = min(
-            (
-                r.session.last_confirmed_at + CLIENT_RETRY_DELAY_S
-                for r in self._orders.all()
-            ),
+            (r.lease_limit(CLIENT_RETRY_DELAY_S) for r in self._orders.all()),
             default=math.inf,
         )
         return self._contact.lease_s(repeats_at, now)
@@ -523,7 +522,7 @@
                     session.last_payload = msg.payload
                 self._start(session, msg, now)
             case StopRun():
-                self._stop_requested(session, msg)
+                self._stop_requested(session, msg, now)
             case Demand():
                 session.demand = msg if msg.cpu else None
                 session.start_by = now + msg.slack_s
@@ -531,11 +530,16 @@
             case Attach():
                 pass
 
-    def _stop_requested(self, session: Session, msg: StopRun) -> None:
+    def _stop_requested(
+        self, session: Session, msg: StopRun, now: float
+    ) -> None:
         """Stop a run that its entry has no use for; it may have ended."""
         run = session.runs.get(msg.dispatch)
         if run is None:
             return
+        run.unwanted_since = min(
+            run.unwanted_since, session.last_confirmed_at, now
+        )
         self._log("stop-received", task=run.task, run=run.run)
         if not self._orders.drop_unsent(run):
             self._orders.stop(run, RunEnd.STOPPED)
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import msgspec
 
@@ -71,6 +72,8 @@
         takes at its present pace; 0 if unknown.
     :param paced_at: since when ``pace`` is measured; 0 before.
     :param paced_percent: its progress then.
+    :param unwanted_since: earliest time at which its client may have left;
+        infinite while its entry wants it.
     """
 
     key: int
@@ -100,6 +103,19 @@
     pace: float = 0.0
     paced_at: float = 0.0
     paced_percent: int = 0
+    unwanted_since: float = math.inf
+
+    def lease_limit(self, retry_delay_s: float) -> float:
+        """Return when its lease has to end, so that no repeat overlaps it.
+
+        :param retry_delay_s: seconds after which a client that has left, or
+            whose entry is lost, repeats its request.
+        :return: Unix time in seconds.
+        """
+        since = self.session.last_confirmed_at
+        if not self.withdrawn_at:
+            since = min(since, self.unwanted_since)
+        return since + retry_delay_s
 
     def update_pace(self, percent: int, now: float) -> None:
         """Measure the present pace, once its progress covers some time.
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -215,6 +215,13 @@
     )
 
 
+@fault
+def stops_lost(case: Case) -> None:
+    """Lose all orders to stop a run; workers answer everything else."""
+    case.world.stops_lost = True
+    case.world.after(2.5, lambda: setattr(case.world, "stops_lost", False))
+
+
 @fault
 def agent_replaced_while_frozen(case: Case) -> None:
     """Freeze an agent and start another process of it beside its worker."""
--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -138,3 +138,30 @@
         world.refused_dials.add("a0")
     world.run(2.0)
     assert isinstance(world.outcomes["next"][1], Completed)
+
+
+def leave_client(world: World, agent: str) -> None:
+    """Let a client leave and repeat its request at the other entry."""
+    world.client_leaves(world.entries["e0"], "j")
+    world.after(
+        REPEAT_DELAY_S,
+        lambda: world.submit(world.entries["e1"], request("j", 1, 4.0)),
+    )
+
+
+@pytest.mark.parametrize("moment", [0.01, 0.05, 0.2, 0.39])
+@pytest.mark.parametrize("event", [leave_client], ids=lambda f: f.__name__)
+def test_a_run_ends_although_its_worker_gets_no_stop(event, moment):
+    """Guards against a lease that is renewed for a run that has to stop.
+
+    Orders to stop reach no worker for seconds, while its run listings, which
+    renew the lease, do. The client of the run has left.
+    """
+    world = make_world()
+    world.submit(world.entries["e0"], request("j", count=1, work_s=4.0))
+    world.run(moment)
+    world.stops_lost = True
+    event(world, busiest(world))
+    world.run(9.0)
+    assert not world.overlaps()
+    assert isinstance(world.outcomes["j"][1], Completed)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -148,6 +148,8 @@
       lost;
     - ``resetting``: agents whose worker resets each connection at once, and
       does nothing;
+    - ``stops_lost``: whether orders to stop a run reach no worker, while run
+      listings do;
     - ``stop_answers_lost``: whether workers carry out orders to stop a run
       and their answers are lost;
     - ``leases_count_from_arrival``: whether a worker grants each order a
@@ -191,6 +193,7 @@
         self.listing_delay_s = 0.0
         self.listing_lost: Callable[[], bool] = lambda: False
         self.resetting: set[str] = set()
+        self.stops_lost = False
         self.stop_answers_lost = False
         self.cuts: set[tuple[str, str]] = set()
         self.outcomes: dict[str, tuple[float, Outcome]] = {}
@@ -747,7 +750,8 @@
     ) -> None:
         """Carry out an agent's order to stop a run, once the worker is up."""
         worker, core = self.workers[node.name], node.core
-        if not worker.up or node.name in self.resetting:
+        is_lost = self.stops_lost or node.name in self.resetting
+        if not worker.up or is_lost:
             if core.is_open(order.key):
                 self.after(
                     0.3, lambda: self._withdraw(node, order, generation)
