Renew no lease for runs that a previous process has ordered

Seen by callers: a task runs twice at once after an agent was killed, if its worker gets no order to stop the runs of the killed process for a second. Cause: an entry counts the runs of a previous agent process as ended once their lease has. The next process stops them, but its run listings renew the lease of everything on the worker until they have shown that nothing is left. Evidence: test_a_run_ends_although_its_worker_gets_no_stop[kill_agent], 4 of 4 cases: orders to stop are lost, the entry starts the task elsewhere 1.1 s after the restart, the first run goes on for its 4 s. Change: no lease is renewed until a run listing has shown only known runs. The agent accepts no runs until then, so there is nothing to renew for. Tests: these 4 cases failed before, none after.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -252,8 +252,11 @@
         before the clients of any entry with runs here would repeat their
         requests at another entry. An order to stop a run may not reach the
         worker: until it is confirmed, the lease ends before the client of
-        that run repeats its request.
+        that run repeats its request. Entries count the runs of a previous
+        process as ended with their lease, so none is renewed for those.
         """
+        if not self._reconciled:
+            return 0.0
         repeats_at = min(
             (r.lease_limit(CLIENT_RETRY_DELAY_S) for r in self._orders.all()),
             default=math.inf,
--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -149,13 +149,22 @@
     )
 
 
+def kill_agent(world: World, agent: str) -> None:
+    node = world.agents[agent]
+    world.kill(node)
+    world.after(0.6, lambda: world.restart_agent(node))
+
+
 @pytest.mark.parametrize("moment", [0.01, 0.05, 0.2, 0.39])
-@pytest.mark.parametrize("event", [leave_client], ids=lambda f: f.__name__)
+@pytest.mark.parametrize(
+    "event", [leave_client, kill_agent], ids=lambda f: f.__name__
+)
 def test_a_run_ends_although_its_worker_gets_no_stop(event, moment):
     """Guards against a lease that is renewed for a run that has to stop.
 
     Orders to stop reach no worker for seconds, while its run listings, which
-    renew the lease, do. The client of the run has left.
+    renew the lease, do: of a run whose client has left, and of one that a
+    previous process of the agent has ordered.
     """
     world = make_world()
     world.submit(world.entries["e0"], request("j", count=1, work_s=4.0))
