--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -111,6 +111,29 @@
     assert isinstance(world.outcomes["j"][1], Completed)
 
 
+@pytest.mark.parametrize(
+    "lose", [reset, silence, refuse_redials], ids=lambda f: f.__name__
+)
+def test_a_demand_that_is_lost_is_reported_again(lose):
+    """Guards against a waiting task of which its agent does not know.
+
+    Its demand is lost with the connection; both entries want what the only
+    worker has free next.
+    """
+    world = make_world(1)
+    world.workers["a0"].cpu = 4000
+    world.report("a0")
+    first, second = world.entries["e0"], world.entries["e1"]
+    world.run(0.1)
+    world.submit(second, request("long", count=1, work_s=0.9, cpu=4000))
+    world.run(0.1)
+    world.submit(first, request("j", count=1, work_s=2.0, cpu=3000))
+    world.submit(second, request("other", count=1, work_s=4.0, cpu=3000))
+    lose(world, "a0")
+    world.run(4.0)
+    assert isinstance(world.outcomes["j"][1], Completed)
+
+
 @pytest.mark.parametrize("lose", ["power_off", "silence"])
 def test_a_demand_that_cannot_be_withdrawn_expires(lose):
     """Guards against capacity that is kept for an entry that is gone.
