Believe no label of a restarted worker before its heartbeat

Cause: the agent adopts the new incarnation from its first run listing, which has no labels, with the labels of the previous one, also from the stored record. Orders on their way named no label. Change: an adopted worker has no labels until its heartbeat (worker-unconfirmed). StartRun names the required label in a trailing field; the agent refuses it if its worker lacks it, or if a connection to the worker has ended since its last listing. The stand-in world reports such an end as the process does. Agents and entries of the former build ignore or lack the field.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -712,6 +712,7 @@
             round((task.start_by - now) * 1000),
             round((task.useful_by - now) * 1000),
             task.suspect,
+            step.required_label,
         )
         self._agents.send(view, order)
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -224,8 +224,9 @@
     def _adopt_restarted_worker(self, listing: RunListing, now: float) -> None:
         """Switch to a restarted worker that has not sent a heartbeat yet.
 
-        Its run listing shows the new incarnation; everything else is assumed
-        to be as in the last heartbeat.
+        Its run listing shows the new incarnation. Rack, capacity, service and
+        zone stay with the machine, but it may be of another kind, and nothing
+        tells the labels apart. So it has no labels until its heartbeat.
         """
         if self.worker is not None:
             report = replace(
@@ -233,6 +234,13 @@
                 born_ms=listing.born_ms,
                 clock_ms=listing.clock_ms,
                 sequence=0,
+                labels=(),
+            )
+            self._log(
+                "worker-unconfirmed",
+                worker=report.worker,
+                born_ms=report.born_ms,
+                labels=list(self.worker.labels),
             )
             self.worker_reported(report, now)
 
@@ -571,6 +579,7 @@
             not session_valid
             or not order_valid
             or not self.accepting(now)
+            or not self._has_label(msg.required_label)
             or self._orders.has_task(run.task)
         ):
             self._report_end(run, RunEnd.UNAVAILABLE, 0.0)
@@ -583,6 +592,19 @@
         self.counts["ordered"] += 1
         self._orders.start(run, now)
 
+    def _has_label(self, label: str) -> bool:
+        """Whether the worker has a label that a task requires, if any.
+
+        Not between the end of a connection to it and its next run listing: it
+        may have started again as another kind.
+        """
+        if not label:
+            return True
+        worker = self.worker
+        if worker is None or self._contact.may_have_restarted:
+            return False
+        return label in worker.labels
+
     def _is_barred_by_trial(self, run: Run) -> bool:
         """Whether a task under suspicion would run beside that of another job.
 
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -103,6 +103,11 @@
         elif requested_at >= self._reset_at:
             self._stop_renewal(now)
 
+    @property
+    def may_have_restarted(self) -> bool:
+        """Whether a connection has ended since the last run listing."""
+        return self.refuses or bool(self._reset_at)
+
     def listing_lost(self, now: float) -> None:
         """Record that a request for a run listing got no answer in time."""
         self._short_waits_until = now + SHORT_WAITS_FOR_S
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -120,6 +120,9 @@
     :param useful_within_ms: likewise for the answer of its job to be of use;
         0, as sent by earlier versions, if it is not.
     :param suspect: whether a worker was lost under the task before.
+    :param required_label: label that the worker must have; empty, also as
+        sent by earlier versions, for any. The worker may have restarted as
+        another kind since the entry got its status.
     """
 
     dispatch: int
@@ -135,6 +138,7 @@
     start_within_ms: int = 0
     useful_within_ms: int = 0
     suspect: bool = False
+    required_label: str = ""
 
 
 class StopRun(Message, frozen=True, tag="stop"):
--- a/packages/briarford/tests/fleet/test_members.py
+++ b/packages/briarford/tests/fleet/test_members.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briarford.outcomes import Completed
-from briarford.runs import AgentAddress
+from briarford.runs import AgentAddress, RunListing
 from fleet.worker import StandInWorker
 from fleet.world import REPORT_PERIOD_S, World, request
 
@@ -249,3 +249,61 @@
             recent = [s for t, s in sizes[name] if known_since < t <= at]
             assert load <= max([*last, *recent], default=full)
     assert not world.overlaps()
+
+
+@pytest.mark.parametrize("restores", [False, True])
+@pytest.mark.parametrize("after_s", [0.0, 0.002, 0.1, 0.5])
+def test_a_worker_that_restarts_as_another_kind_gets_no_former_tasks(
+    after_s, restores
+):
+    """Guards against starts that require a label of the last incarnation.
+
+    Run listings of the new incarnation come before its heartbeat; its agent
+    goes on, or has restarted and restored the stored record.
+    """
+    workers = [StandInWorker(f"w{n}", labels=("a", "r1")) for n in range(2)]
+    world = World(workers, entries=1)
+    world.run(1.0)
+    other, agent = workers[0], world.agents["a0"]
+    stored = agent.core.worker
+    world.run(0.5)  # the next heartbeat is 1.5 s away
+    other.crash(world.now)
+    if restores:
+        world.kill(agent)
+        world.run(0.5)
+        world.restart_agent(agent)
+        agent.core.restore_worker(stored, 1.0, world.now)
+    other.boot(world.now)
+    other.labels = ("b", "r1")
+    world.run(after_s)
+    for n in range(20):
+        world.after(
+            n * 0.05,
+            lambda j=f"j{n}": world.submit(
+                world.entries["e0"],
+                request(j, count=2, work_s=0.2, required_label="a"),
+            ),
+        )
+    world.run(3.0)
+    assert not starts(world, "w0", after=0.0)
+    assert_all_completed(world, [f"j{n}" for n in range(20)])
+    world.submit(
+        world.entries["e0"], request("k", count=1, required_label="b")
+    )
+    world.run(1.0)
+    assert starts(world, "w0", after=0.0) == 1
+
+
+def test_an_order_that_requires_a_label_is_not_carried_out_without_it():
+    """Guards against an order that was sent before the worker restarted."""
+    world = World([StandInWorker("w0", labels=("a", "r1"))], entries=1)
+    world.run(1.0)
+    agent = world.agents["a0"]
+    world.submit(
+        world.entries["e0"], request("j", count=1, required_label="a")
+    )
+    listing = RunListing(2, (), (), 0)
+    agent.core.listing_received(listing, world.now, world.now)
+    assert agent.core.accepting(world.now)
+    world.run(0.01)
+    assert not starts(world, "w0", after=0.0)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -674,7 +674,10 @@
         born_ms = worker.born_ms
 
         def poll() -> None:
-            if worker.born_ms != born_ms:  # the connection was reset
+            if worker.born_ms != born_ms:
+                self._run_in(
+                    node, lambda: core.connection_reset(asked_at, self.now)
+                )
                 self.after(
                     LISTING_RETRY_S, lambda: self._watch(node, generation)
                 )
