--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
 
 # All pairs of faults at all of some moments, against the cores of the fleet;
-# only those with one of some faults: make explore FAULTS="client_is_reset"
+# only those with one of some faults: make explore FAULTS="client_is_reset";
+# random series of three to six: make explore FAULTS="--series 1000"
 FAULTS ?=
 explore: .venv/.installed
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m fleet.explore $(FAULTS)
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -18,16 +18,19 @@
 
     PYTHONPATH=packages/briarford/tests .venv/bin/python -m fleet.explore
 
-Names of faults after it limit the pairs to those with one of them.
+Names of faults after it limit the pairs to those with one of them. With
+``--series N`` it plays N random series of faults in place of the pairs.
 """
 
 from __future__ import annotations
 
 import itertools
+import random
 import sys
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from typing import Any, NoReturn
 
 from briarford.outcomes import Refused
 from briarford.requests import JobRequest
@@ -48,6 +51,8 @@
 MAX_EVACUATION_S = 0.5
 MAX_CANCEL_S = 1.0  # within it a run may still start after its client left
 PROCESSES = 3
+SERIES_S = 2.0  # within it the faults of a series happen
+RESET_SHARE = 0.5  # of the series have a client that is reset
 
 Fault = Callable[["Case"], None]
 FAULTS: dict[str, Fault] = {}
@@ -481,25 +486,50 @@
     ]
 
 
+def play_series(seed: int) -> list[str]:
+    """Simulate three to six random faults at random moments.
+
+    :return: the rules that were broken.
+    """
+    rng = random.Random(seed)
+    names = rng.choices(list(FAULTS), k=rng.randint(3, 5))
+    if rng.random() < RESET_SHARE:
+        names.append("client_is_reset")
+    moments = sorted(rng.uniform(0.0, SERIES_S) for _ in names)
+    rng.shuffle(names)
+    steps = zip(names, moments, strict=True)
+    return play(*steps, settled_s=rng.choice((FRESH_S, SETTLED_S)))
+
+
 def _play_pair(pair: tuple[tuple[str, float], ...]) -> list[str]:
     return play(*pair) + play(*pair, settled_s=SETTLED_S)
 
 
 def main() -> None:
-    """Simulate the pairs, and exit with status 1 if any broke a rule."""
+    """Simulate pairs or series; exit with status 1 if any broke a rule."""
     names = sys.argv[1:]
+    if names[:1] == ["--series"]:
+        _play_all("series", play_series, range(int(names[1])))
     unknown = [n for n in names if n not in FAULTS]
     if unknown:
         sys.exit(f"no fault is named {', '.join(unknown)}")
-    todo = pairs(names)
+    _play_all("pairs", _play_pair, pairs(names))
+
+
+def _play_all(
+    what: str,
+    play_one: Callable[[Any], list[str]],
+    todo: Sequence[Any],
+) -> NoReturn:
+    """Simulate all in some processes, print those that broke a rule, exit."""
     broken = 0
     with ProcessPoolExecutor(PROCESSES) as pool:
-        results = pool.map(_play_pair, todo, chunksize=16)
-        for pair, found in zip(todo, results, strict=True):
+        results = pool.map(play_one, todo, chunksize=16)
+        for one, found in zip(todo, results, strict=True):
             if found:
                 broken += 1
-                print(pair, "; ".join(sorted(set(found))))
-    print(f"{len(todo)} pairs of faults played, {broken} broke a rule")
+                print(one, "; ".join(sorted(set(found))))
+    print(f"{len(todo)} {what} of faults played, {broken} broke a rule")
     sys.exit(broken > 0)
 
 
--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -28,10 +28,12 @@
     SETTLED_S,
     pairs,
     play,
+    play_series,
 )
 from fleet.world import World
 
 SAMPLE = 60
+SERIES = 60
 SEED = 20261204
 
 
@@ -56,6 +58,12 @@
     assert play(*pair, settled_s=settled_s) == []
 
 
+@pytest.mark.parametrize("seed", range(SERIES))
+def test_a_series_of_faults_breaks_no_rule(seed):
+    """Guards against a rule that overlapping faults break, also repeated."""
+    assert play_series(seed) == []
+
+
 def plant_overlong_sessions(monkeypatch):
     """Plant: an agent does not stop the runs of a silent entry in time."""
     monkeypatch.setattr(state, "SESSION_TTL_S", 4.0)
