--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -64,9 +64,8 @@
 # Runs of one job end within milliseconds; the next request waits for them,
 # so that one answer reports them all.
 END_BATCH_S = 0.004
-WITHDRAW_PERIOD_S = (
-    0.1  # between orders to stop a run, unless one takes longer
-)
+# Between orders to stop a run, unless one takes longer.
+WITHDRAW_PERIOD_S = 0.1
 DRAIN_POLL_PERIOD_S = 0.05
 MS_PER_S = 1000
 # Part of ``stop_within_s`` that is kept for closing the connections.
