--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -254,7 +254,7 @@
             if dispatch.number > status.last_dispatch:
                 self._add_in_flight(dispatch, 1)
 
-    def is_unheard(self, since: float) -> bool:
+    def misses_orders(self, since: float) -> bool:
         """Whether its messages arrive and the orders to it are lost.
 
         Each status names the last order that it includes, and one follows
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -304,8 +304,8 @@
         for view in list(self._views.values()):
             if view.last_received_at < received_after:
                 self._check_silence(view, now)
-            elif view.link is not None and view.is_unheard(received_after):
-                self._log("agent-unheard", agent=view.name)
+            elif view.link is not None and view.misses_orders(received_after):
+                self._log("agent-misses-orders", agent=view.name)
                 self.close(view)
                 view.dial_at = now
             if view.unowned:
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -225,8 +225,8 @@
         """Switch to a restarted worker that has not sent a heartbeat yet.
 
         Its run listing shows the new incarnation. Rack, capacity, service and
-        zone stay with the machine, but it may be of another kind, and nothing
-        tells the labels apart. So it has no labels until its heartbeat.
+        zone stay with the machine, but it may be of another kind, and any
+        label may name the kind. So it has no labels until its heartbeat.
         """
         if self.worker is not None:
             report = replace(
--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -364,13 +364,13 @@
 
 
 @fault
-def entry_is_not_heard(case: Case) -> None:
+def entry_messages_lost(case: Case) -> None:
     """Lose only what the entry sends on its connection to the agent."""
     case.world.silence("e0", case.agent.name)
 
 
 @fault
-def agent_is_not_heard(case: Case) -> None:
+def agent_messages_lost(case: Case) -> None:
     """Lose only what the agent sends on its connection to the entry."""
     case.world.silence(case.agent.name, "e0")
 
--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -88,7 +88,7 @@
 
 
 def lose_orders(world: World, agent: str) -> None:
-    """Lose what the entry sends; the agent is heard all the while."""
+    """Lose what the entry sends; the messages of the agent arrive."""
     world.silence("e0", agent)
 
 
@@ -97,7 +97,7 @@
     "lose", [lose_orders, reset, silence], ids=lambda f: f.__name__
 )
 def test_an_order_that_is_lost_is_sent_again(lose, moment):
-    """Guards against a job without an answer, as its orders are not heard.
+    """Guards against a job without an answer, as its orders do not arrive.
 
     The entry keeps getting heartbeats and statuses on the connection that
     loses its orders; nothing but their content shows the loss.
@@ -136,10 +136,10 @@
 
 @pytest.mark.parametrize("lose", ["power_off", "silence"])
 def test_a_demand_that_cannot_be_withdrawn_expires(lose):
-    """Guards against capacity that is kept for an entry that is gone.
+    """Guards against capacity that is kept for an entry without power.
 
     Tasks of both entries wait for the only worker. One entry loses power, or
-    is not heard any more; its demand, the more urgent one, needs more than
+    loses its connection; its demand, the more urgent one, needs more than
     what becomes free.
     """
     world = make_world(1)
