--- a/review/7/case.py
+++ b/review/7/case.py
@@ -44,7 +44,7 @@
             workers.append(worker)
             await worker.start()
         await fleet.until_ready(entry, 20.0)
-        await asyncio.sleep(2.5)
+        await fleet.until_controlled(workers, 20.0)
         job_id = new_id()
         body = job([STEP_MS] * STEPS)
         posting = asyncio.create_task(
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -13,12 +13,14 @@
 import subprocess
 import tempfile
 import tomllib
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
 from record import Record
 from store import Store
 from web import call
+from worker import Worker
 
 ROOT = Path(__file__).resolve().parents[2]
 METRICS_PORT = 9464
@@ -229,6 +231,20 @@
         except TimeoutError as exc:
             raise CannotRunError(f"{entry.name} is not ready") from exc
 
+    async def until_controlled(
+        self, workers: Iterable[Worker], timeout_s: float
+    ) -> None:
+        """Wait until each worker has been called by its agent."""
+        for worker in workers:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    while not worker.life.token:  # noqa: ASYNC110
+                        await asyncio.sleep(0.1)
+            except TimeoutError as exc:
+                raise CannotRunError(f"{worker.name} is not called") from exc
+        # Entries dial the agents and get the status of their workers.
+        await asyncio.sleep(2.0)
+
     async def is_ready(self, entry: Process) -> bool:
         """Return what an entry answers to the load balancer."""
         address = entry.listen["ready"]
