--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A job is cancelled at a daemon that was added while the job runs."""
+"""Liveness reports of an unknown service reach all agents, once each."""
 
 from __future__ import annotations
 
@@ -15,19 +15,36 @@
 from worker import Worker  # noqa: E402
 
 from fleet import (  # noqa: E402
-    BOUNDS,
-    HOST,
-    PREFIX,
     CannotRunError,
     Fleet,
+    free_port,
     job,
     new_id,
     submit,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STEP_MS = 3000
-STEPS = 4
+WORKERS = 3
+SECONDS = 30
+JOBS_PER_S = 4
+
+
+async def send_stray(record: Record, worker: Worker, number: int) -> None:
+    """Send one report to the agent of a worker, of another service.
+
+    Nobody listens at the address that it names.
+    """
+    host = worker.control.partition(":")[0]
+    report = {
+        **worker.report(),
+        "service": "archive-desk",
+        "address": f"{host}:{free_port(host)}",
+        "sequence": 1,
+        "born": worker.life.born_ms + 1500,
+    }
+    path = f"/briarford/instances/i-9{number}"
+    status, _ = await call(worker.control, "PUT", path, report)
+    record.add("stray-report", to=worker.control, status=status, body=report)
 
 
 async def play(record: Record) -> int:
@@ -37,7 +54,7 @@
     try:
         await fleet.start_store()
         entry = fleet.launch("entry", "front-1")
-        for number in (1, 2):
+        for number in range(1, WORKERS + 1):
             agent = fleet.launch("agent", f"side-{number}")
             control = agent.listen["control"]
             worker = Worker(f"i-{number}", agent.ip, control, record)
@@ -45,45 +62,26 @@
             await worker.start()
         await fleet.until_ready(entry, 20.0)
         await fleet.until_controlled(workers, 20.0)
-        job_id = new_id()
-        body = job([STEP_MS] * STEPS)
-        posting = asyncio.create_task(
-            submit(record, entry, job_id, body, deadline_ms=30000)
-        )
-        await asyncio.sleep(1.0)
-        # With one daemon more, the hash of the client selects that one for
-        # its next connection.
-        target = entry
         if TROUBLE:
-            target = fleet.launch("entry", "front-2")
-        await fleet.until_ready(target, 20.0)
-        record.add("cancel-sent", job=job_id, entry=target.name)
-        headers = {"Host": HOST}
-        path = PREFIX + job_id
-        status, _ = await call(
-            target.listen["front"], "DELETE", path, headers=headers
-        )
-        acked_at = record.now()
-        record.add("cancel-answered", job=job_id, status=status)
-        if not (200 <= status < 300 or status == 410):
-            raise CannotRunError("the cancel has no ack")
-        await posting
-        # Time for starts that the rule doesn't allow.
-        await asyncio.sleep(2 * BOUNDS["cancel_ms"] / 1000)
-        late = [
-            i
-            for i in record.intervals
-            if i.task.startswith(job_id)
-            and i.start > acked_at + BOUNDS["cancel_ms"] / 1000
-        ]
-        for run in late:
-            record.add(
-                "UNASKED",
-                task=run.task,
-                worker=run.worker,
-                after_ack_ms=round((run.start - acked_at) * 1000),
+            for number, worker in enumerate(workers):
+                await send_stray(record, worker, number)
+        await asyncio.sleep(2.0)
+        jobs = []
+        for _ in range(SECONDS * JOBS_PER_S):
+            body = job([300], count=2)
+            jobs.append(
+                asyncio.create_task(submit(record, entry, new_id(), body))
             )
-        return 1 if late else 0
+            await asyncio.sleep(1 / JOBS_PER_S)
+        statuses = await asyncio.gather(*jobs)
+        served = sum(s == 200 for s in statuses)
+        up = [w.name for w in workers if w.up and w.acked_s < 2.0]
+        record.add("served", of=len(statuses), served=served, acked=up)
+        if len(up) < WORKERS:
+            raise CannotRunError("the reports of the workers have no ack")
+        if not TROUBLE and served < len(statuses):
+            raise CannotRunError("jobs fail without the disruption")
+        return 0 if served else 1
     finally:
         for worker in workers:
             if worker.up:
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -19,6 +19,7 @@
 MAX_HOLD_S = 1.0
 STOP_S = 0.05
 BEAT_S = 1.5
+ACK = 200
 
 
 @dataclass
@@ -83,6 +84,7 @@
         self.life = Life()
         self.up = False
         self.late_orders = lambda _task: None
+        self._acked_at = 0.0
         self._record = record
         self._server = HttpServer(self._handle, host)
         self._tasks: list[asyncio.Task[None]] = []
@@ -147,9 +149,16 @@
             status, _ = await call(
                 self.control, "PUT", path, self.report(), timeout_s=1.0
             )
+            if status == ACK:
+                self._acked_at = time.monotonic()
             return status
         return 0
 
+    @property
+    def acked_s(self) -> float:
+        """Seconds since its last report that was acknowledged."""
+        return time.monotonic() - self._acked_at
+
     async def _beat(self) -> None:
         while True:
             answered = await self.beat()
