--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,6 +23,7 @@
     submit,
 )
 
+LIMIT_S = 110.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WORKERS = 3
 SECONDS = 30
@@ -93,9 +94,9 @@
     """Play the case."""
     record = Record(HERE / "record.txt")
     try:
-        status = asyncio.run(play(record))
+        status = asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
     except (CannotRunError, OSError, TimeoutError) as exc:
-        record.add("cannot-run", error=str(exc))
+        record.add("cannot-run", error=repr(exc))
         status = 2
     record.add("exit", status=status)
     record.close()
