Keep a worker that answers, whatever a stray heartbeat claims

Cause: the agent replaced its worker by any other id, and by its own id with a later birth, address, service or sequence, and then ignored the heartbeats of the real worker as older ones. The runs of the replaced worker counted as ended once the new one confirmed their stop, which never had them.

Change: a worker is confirmed by a run listing from its address, under its id, with its birth, and stays while it answers. A heartbeat that claims another incarnation has a listing requested at once; the listing goes before it. A 421 shows that another instance has the address. Runs of a worker that one at another address replaces end with their lease.

A 421 to a listing is a failure of its own in test_calls.py.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -157,6 +157,7 @@
         self._poll_given_up = False
         self._poll_limit: asyncio.Timeout | None = None
         self._listed_at = 0.0
+        self._verifying = False
         self._links = AgentLinks(
             self._on_attach, self._on_messages, self._on_link_closed
         )
@@ -237,11 +238,24 @@
         """
         previous = self.core.worker
         self.core.worker_reported(report, self._clock.now())
-        if _offers_less(report, previous):
+        if self.core.worker is report and _offers_less(report, previous):
             self._registration.record_changed()
+        if self.core.has_pending_claim and not self._verifying:
+            self._verifying = True
+            self._tasks.spawn(self._verify_worker())
         self._worker_changed.set()
         self._wake()
 
+    async def _verify_worker(self) -> None:
+        """See at once whether the worker answers, as a claim is pending."""
+        try:
+            while self.core.has_pending_claim and self.core.has_token:
+                if await self._list_runs(0.0) is None:
+                    await asyncio.sleep(LISTING_RETRY_DELAY_S)
+        finally:
+            self._verifying = False
+        self._worker_changed.set()
+
     def worker_left(self, worker: str) -> None:
         """Pass the announcement of a worker that it leaves to the core.
 
@@ -518,19 +532,37 @@
             wait_s if self.core.reconciled else 0.0,
             lease_s,
         )
-        if listing is ListingFailure.REFUSED:
-            self.core.worker_refused(self._clock.now())
-            self._wake()
-        elif listing is ListingFailure.RESET:
-            self.core.connection_reset(requested_at, self._clock.now())
-            self._wake()
+        if _called_instance(worker) != _called_instance(self.core.worker):
+            return None  # the worker has been replaced meanwhile
         if isinstance(listing, ListingFailure):
+            self._listing_failed(listing, requested_at)
             return None
         self._listed_at = self._clock.now()
         self.core.listing_received(listing, requested_at, self._listed_at)
         self._wake()
         return listing
 
+    def _listing_failed(
+        self, failure: ListingFailure, requested_at: float
+    ) -> None:
+        """Pass the failure of a request for a run listing to the core."""
+        now = self._clock.now()
+        match failure:
+            case ListingFailure.REFUSED:
+                self.core.worker_refused(now)
+            case ListingFailure.OTHER_INSTANCE:
+                self.core.worker_misdirected(now)
+            case ListingFailure.RESET:
+                self.core.connection_reset(requested_at, now)
+            case ListingFailure.UNANSWERED:
+                self.core.listing_failed(now)
+        self._wake()
+
+
+def _called_instance(worker: WorkerReport | None) -> tuple[str, str] | None:
+    """Return what a call to a worker is addressed to."""
+    return None if worker is None else (worker.worker, worker.address)
+
 
 def _offers_less(report: WorkerReport, previous: WorkerReport | None) -> bool:
     """Whether a worker drains, or has less capacity, than it reported last."""
--- a/packages/briarford-daemon/tests/test_run_listings.py
+++ b/packages/briarford-daemon/tests/test_run_listings.py
@@ -206,3 +206,46 @@
         await until(lambda: agent.core.reconciled)
     assert worker.born[0] == 1
     assert worker.born[-1] == 2
+
+
+class ReplacedWorker:
+    """Answers under one id at its address; any other id is misdirected."""
+
+    def __init__(self):
+        self.alive = "w"
+        self.listings = 0
+
+    async def list_runs(self, worker, acked_end, token, wait_s, lease_s):
+        await asyncio.sleep(0 if not wait_s else LIMIT_S)
+        if worker.worker != self.alive:
+            return ListingFailure.OTHER_INSTANCE
+        self.listings += 1
+        return RunListing(1, (), ())
+
+    async def close(self):
+        pass
+
+
+@pytest.mark.parametrize("replaced", [True, False])
+async def test_a_claim_is_verified_at_once(monkeypatch, replaced):
+    """Guards against a stray worker in use, and a new one that waits.
+
+    The listing that the agent has requested waits for a run to end.
+    """
+    worker = ReplacedWorker()
+    agent = make_agent(worker)
+    async with waiting_without_limit(monkeypatch, agent):
+        agent._on_registered(7)
+        agent.worker_reported(REPORT)
+        await until(lambda: agent.core.reconciled)
+        listings = worker.listings
+        if replaced:
+            worker.alive = "w2"
+        agent.worker_reported(
+            msgspec.structs.replace(REPORT, worker="w2", born_ms=2)
+        )
+        await until(lambda: not agent.core.has_pending_claim)
+        if replaced:
+            agent._poll_limit.reschedule(0)  # its connection has ended
+        assert agent.core.worker.worker == worker.alive
+        await until(lambda: worker.listings > listings)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -21,6 +21,7 @@
 
 from briarford.capabilities import count_builds
 from briarford.evacuations import Evacuations
+from briarford.runs.claims import Verdict, WorkerClaims, same_incarnation
 from briarford.runs.contact import WorkerContact
 from briarford.runs.demands import by_rank
 from briarford.runs.effects import (
@@ -118,6 +119,7 @@
         self._failure_guard = FailureGuard()
         self._slowness = Slowness()
         self._contact = WorkerContact()
+        self._claims = WorkerClaims()
         self._next_heartbeat = 0.0
         self._turn_needed = True
         self._statuses = StatusSchedule()
@@ -141,22 +143,63 @@
     def worker_reported(self, report: WorkerReport, now: float) -> None:
         """Process a heartbeat of the worker.
 
-        Heartbeats that are older than one already seen are ignored. The first
-        one of another worker, or of a worker that has restarted, discards
-        what was learnt of the previous one.
+        It may be of another writer, or late. The first one of another worker,
+        or of one that has restarted, discards what was learnt of the previous
+        one, unless that still answers: see :mod:`briarford.runs.claims`.
         """
-        previous = self.worker
-        if previous is not None and report.born_ms < previous.born_ms:
-            return  # delayed report of an earlier incarnation
-        if previous is None or _incarnation(previous) != _incarnation(report):
-            self._replace_worker(report, now)
-        elif report.sequence < previous.sequence:
-            return
-        elif report.draining != previous.draining:
-            self._log("worker-state", draining=report.draining)
+        current = self.worker
+        answers = self.may_extend_lease(now)
+        match self._claims.judge(current, report, answers, now):
+            case Verdict.ADOPT:
+                self._adopt(report, True, now)
+            case Verdict.UPDATE:
+                if current is not None and report.draining != current.draining:
+                    self._log("worker-state", draining=report.draining)
+                self._set_worker(report)
+            case Verdict.VERIFY:
+                self._log_claim("worker-claimed", report)
+            case Verdict.IGNORE:
+                self._log_claim("report-ignored", report)
+
+    @property
+    def has_pending_claim(self) -> bool:
+        """Whether a run listing is to show if the worker still answers.
+
+        A heartbeat has claimed that another one has taken its place.
+        """
+        return self._claims.pending is not None
+
+    def _adopt(
+        self, report: WorkerReport, is_reported: bool, now: float
+    ) -> None:
+        """Control another worker, or another incarnation, from now on.
+
+        :param is_reported: whether its own heartbeat describes it.
+        """
+        self._replace_worker(report, now)
+        self._claims.adopted(is_reported, now)
+        self._set_worker(report)
+
+    def _set_worker(self, report: WorkerReport) -> None:
         self.worker = report
         self._orders.capacity.total = report.capacity
 
+    def _adopt_claim_if_silent(self, now: float) -> None:
+        """Adopt the pending worker once the present one does not answer."""
+        claim = self._claims.pending
+        if claim is not None and not self.may_extend_lease(now):
+            self._adopt(claim, True, now)
+
+    def _log_claim(self, action: str, report: WorkerReport) -> None:
+        self._log(
+            action,
+            worker=report.worker,
+            born_ms=report.born_ms,
+            service=report.service,
+            address=report.address,
+            sequence=report.sequence,
+        )
+
     def restore_worker(
         self, report: WorkerReport, slowness: float, now: float
     ) -> None:
@@ -170,10 +213,8 @@
         :param slowness: the slowness that it stored.
         """
         if self.worker is None:
-            self.worker_reported(report, now)
-        if self.worker is not None and _incarnation(
-            self.worker
-        ) == _incarnation(report):
+            self._adopt(report, False, now)
+        if self.worker is not None and same_incarnation(self.worker, report):
             self._slowness.restore(slowness, now)
 
     @property
@@ -194,6 +235,7 @@
         self._log("worker-left", worker=worker)
         self._orders.finish_all(LossCause.WORKER_LEFT)
         self.worker = None
+        self._claims.pending = None
         self._reconciled = False
 
     def _replace_worker(self, report: WorkerReport, now: float) -> None:
@@ -218,17 +260,28 @@
         self._slowness = Slowness()
         self.acked_end = 0
         self._reconciled = False
+        self._orders.worker_replaced(
+            report.address, report.capacity, self._contact.lease_end
+        )
         self._contact.joined(now)
-        self._orders.worker_replaced(report.capacity)
 
     def _adopt_restarted_worker(self, listing: RunListing, now: float) -> None:
-        """Switch to a restarted worker that has not sent a heartbeat yet.
+        """Switch to the incarnation of the worker that a run listing shows.
 
-        Its run listing shows the new incarnation. Rack, capacity, service and
-        zone stay with the machine, but it may be of another kind, and any
-        label may name the kind. So it has no labels until its heartbeat.
+        If it has not sent a heartbeat yet, rack, capacity, service and zone
+        stay with the machine, but it may be of another kind, and any label
+        may name the kind. So it has no labels until its heartbeat.
         """
-        if self.worker is not None:
+        claim = self._claims.pending
+        if (
+            claim is not None
+            and self.worker is not None
+            and claim.worker == self.worker.worker
+            and claim.address == self.worker.address
+            and claim.born_ms == listing.born_ms
+        ):
+            self._adopt(claim, True, now)
+        elif self.worker is not None:
             report = replace(
                 self.worker,
                 born_ms=listing.born_ms,
@@ -242,7 +295,7 @@
                 born_ms=report.born_ms,
                 labels=list(self.worker.labels),
             )
-            self.worker_reported(report, now)
+            self._adopt(report, False, now)
 
     def may_extend_lease(self, now: float) -> bool:
         """Whether the next call to the worker may renew its lease.
@@ -290,10 +343,15 @@
         """
         if self.worker is None:
             return
-        if listing.born_ms > self.worker.born_ms:
-            self._adopt_restarted_worker(listing, now)
         if listing.born_ms != self.worker.born_ms:
-            return
+            if not self._claims.restart_shown(
+                self.worker, listing.born_ms, requested_at
+            ):
+                return
+            self._adopt_restarted_worker(listing, now)
+        claim = self._claims.pending
+        if self._claims.listed(requested_at) and claim is not None:
+            self._log_claim("claim-refuted", claim)
         if not self._contact.listed(now, requested_at):
             for run in self._orders.all():
                 run.restart_pace()
@@ -340,6 +398,19 @@
             # Entries know what it was running although this process may die
             # before the lease has ended.
             self._report_loss_of_worker(LossState.SILENT, now)
+        self.listing_failed(now)
+
+    def worker_misdirected(self, now: float) -> None:
+        """Process the answer of another instance at the worker's address.
+
+        The worker has ended, as its address is in use again.
+        """
+        self.worker_refused(now)
+
+    def listing_failed(self, now: float) -> None:
+        """Process a request for a run listing that was not answered."""
+        self._claims.failed()
+        self._adopt_claim_if_silent(now)
 
     def connection_reset(self, requested_at: float, now: float) -> None:
         """Process a call of which the connection ended before the answer.
@@ -350,6 +421,7 @@
         self._contact.reset(requested_at, now)
         if renewed and not self.may_extend_lease(now):
             self._log("worker-resets", runs=len(self._orders))
+        self.listing_failed(now)
 
     def listing_lost(self, now: float) -> None:
         """Process a request for a run listing without an answer in time."""
@@ -365,6 +437,8 @@
         if run is None:
             self._report_earlier_failure(row)
             return
+        if run.ended_by:
+            return  # another worker cannot know
         ran_s = max(0.0, now - (run.started_at or run.ordered_at))
         if row.how == "done":
             self._failure_guard.succeeded()
@@ -479,7 +553,7 @@
         """
         run = self._orders.get(key)
         self._contact.answered(now)
-        if run is not None:
+        if run is not None and not run.ended_by:
             run.withdrawn_at = now
 
     # -- sessions -----------------------------------------------------------
@@ -573,6 +647,8 @@
             suspect=msg.suspect,
             slowness=self._slowness.factor(now),
         )
+        if self.worker is not None:
+            run.address = self.worker.address
         session_valid = now <= session.expires_at
         order_valid = not msg.echo or now <= msg.echo + ORDER_TTL_S
         if (
@@ -595,15 +671,16 @@
     def _has_label(self, label: str) -> bool:
         """Whether the worker has a label that a task requires, if any.
 
-        Not between the end of a connection to it and its next run listing: it
-        may have started again as another kind.
+        Not between the end of a connection to it, or a heartbeat that claims
+        so, and its next run listing: it may have started again as another
+        kind.
         """
         if not label:
             return True
         worker = self.worker
         if worker is None or self._contact.may_have_restarted:
             return False
-        return label in worker.labels
+        return not self.has_pending_claim and label in worker.labels
 
     def _is_barred_by_trial(self, run: Run) -> bool:
         """Whether a task under suspicion would run beside that of another job.
@@ -682,8 +759,10 @@
     def turn(self, now: float) -> list[AgentEffect]:
         """Make the decisions that are due and return their effects."""
         self._turn_needed = False
+        self._adopt_claim_if_silent(now)
         self._expire_sessions(now)
         self._expire_lease(now)
+        self._orders.finish_abandoned(now)
         runs = self._orders.all()
         if self._notices.review(self.worker, runs, self._slowness, now):
             self._orders.capacity.close_offers()
@@ -876,9 +955,5 @@
         self._effects.append(AgentEvent(action, fields))
 
 
-def _incarnation(report: WorkerReport) -> tuple[str, int]:
-    return report.worker, report.born_ms
-
-
 def _identity(report: WorkerReport) -> str:
     return incarnation_of(report.worker, report.born_ms)
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -146,6 +146,14 @@
         end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
         self._lease_end = max(self._lease_end, end)
 
+    @property
+    def lease_end(self) -> float:
+        """When all that was ordered has ended, unless the lease is extended.
+
+        In Unix seconds.
+        """
+        return self._lease_end
+
     def lease_has_ended(self, now: float) -> bool:
         """Whether the worker is silent and all that it ran has ended."""
         return not self.may_extend_lease(now) and now > self._lease_end
--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -170,16 +170,22 @@
                 return True
         return False
 
-    def worker_replaced(self, capacity: Capacity) -> None:
+    def worker_replaced(
+        self, address: str, capacity: Capacity, lease_end: float
+    ) -> None:
         """Go on with another worker, or another incarnation of it.
 
         What was ordered has most likely ended with the previous one. But a
         worker executes orders before its first heartbeat, so an order may
         have reached the new one. A run therefore counts as ended only once
         the new one has answered the order to stop it and its run listing no
-        longer shows it.
+        longer shows it. A worker at another address shows nothing of it: the
+        previous one may be cut off and go on until the lease has ended.
 
+        :param address: of the worker.
         :param capacity: of the worker.
+        :param lease_end: when the lease of the previous one ends, in Unix
+            seconds.
         """
         self._answer_timeout = AnswerTimeout()
         self.capacity = CapacityTracker(capacity)
@@ -189,7 +195,11 @@
             run.end = RunEnd.LOST
             run.loss = LossCause.WORKER_RESTARTED
             run.withdrawn_at = 0.0
-            self._effects.append(WithdrawRun(run.key, run.task, run.run))
+            if run.address == address:
+                run.ended_by = 0.0
+                self._effects.append(WithdrawRun(run.key, run.task, run.run))
+            else:
+                run.ended_by = run.ended_by or lease_end
 
     def _order(self, run: Run, now: float) -> None:
         """Send the order to start a run to the worker."""
@@ -226,7 +236,14 @@
         self._on_ended(run, end, ran_s)
 
     def finish_all(self, cause: LossCause) -> None:
-        """Report all runs as lost."""
+        """Report all runs of the present worker as lost."""
+        for run in list(self._runs.values()):
+            if not run.ended_by:
+                run.loss = cause
+                self.finish(run, RunEnd.LOST)
+
+    def finish_abandoned(self, now: float) -> None:
+        """Report the runs of a previous worker whose lease has ended."""
         for run in list(self._runs.values()):
-            run.loss = cause
-            self.finish(run, RunEnd.LOST)
+            if run.ended_by and now > run.ended_by:
+                self.finish(run, RunEnd.LOST)
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -74,6 +74,9 @@
     :param paced_percent: its progress then.
     :param unwanted_since: earliest time at which its client may have left;
         infinite while its entry wants it.
+    :param address: of the worker that was ordered to run it.
+    :param ended_by: once a worker at another address has taken the place of
+        that one, the time from which the run has certainly ended; 0 before.
     """
 
     key: int
@@ -104,6 +107,8 @@
     paced_at: float = 0.0
     paced_percent: int = 0
     unwanted_since: float = math.inf
+    address: str = ""
+    ended_by: float = 0.0
 
     def lease_limit(self, retry_delay_s: float) -> float:
         """Return when its lease has to end, so that no repeat overlaps it.
@@ -181,6 +186,8 @@
 
         :param requested_at: when the listing was requested.
         """
+        if self.ended_by:
+            return False  # the listing is of another worker
         if self.withdrawn_at:
             return self.withdrawn_at < requested_at
         return bool(self.started_at) and self.started_at < requested_at
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -90,6 +90,8 @@
     REFUSED = "refused"
     # The connection ended before the answer.
     RESET = "reset"
+    # Another instance answered at the address.
+    OTHER_INSTANCE = "other-instance"
 
 
 class RunningRow(msgspec.Struct, frozen=True):
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -221,6 +221,9 @@
     stand_in, address = worker_server
     stand_in.status = 421
     listing = await worker.list_runs(report(address), 0, 42, 0.0, LEASE_S)
+    assert listing is ListingFailure.OTHER_INSTANCE
+    stand_in.status = 500
+    listing = await worker.list_runs(report(address), 0, 42, 0.0, LEASE_S)
     assert listing is ListingFailure.UNANSWERED
     stand_in.silent = True
     listing = await worker.list_runs(report(address), 0, 42, 0.0, LEASE_S)
