Bound heartbeats, records and listings where they are decoded

Cause: decoders checked types, and each use of a value had bounds of its own.

Change: briarford.bounds has the types: counts up to 2^53, names of 256 characters, addresses by number with a port that can be dialed (no look-ups). An agent whose record has an odd worker is still listed by its address, as an earlier build may have stored a stray heartbeat.

--- a/packages/briarford-daemon/src/briarford_daemon/addresses.py
+++ b/packages/briarford-daemon/src/briarford_daemon/addresses.py
@@ -7,6 +7,7 @@
 __all__ = ["split_address"]
 
 MAX_PORT = 65535
+MAX_DIGITS = 5
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -15,7 +16,8 @@
     :raises SettingsError: if the port is out of range.
     """
     host, _, port = address.rpartition(":")
-    if not port.isdigit() or int(port) > MAX_PORT:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_DIGITS
+    if not is_number or int(port) > MAX_PORT:
         raise SettingsError(
             f"'{address}' has no port from 0 to {MAX_PORT} at its end"
         )
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from briarford.bounds import Name, Ratio, SocketAddress
 from briarford.exceptions import StoreError
 from briarford.messages import decode_json
 from briarford.runs import AgentAddress, WorkerReport
@@ -73,10 +74,17 @@
         that did not write it.
     """
 
-    address: str
+    address: SocketAddress
     worker: WorkerReport | None = None
-    slowness: float = 1.0
-    incarnation: str = ""
+    slowness: Ratio = 1.0
+    incarnation: Name = ""
+
+
+class _AgentOnly(msgspec.Struct, frozen=True):
+    """What a record has of the agent itself, whatever it has of the worker."""
+
+    address: SocketAddress
+    incarnation: Name = ""
 
 
 class AgentRegistration:
@@ -332,17 +340,29 @@
     """Return agents by name; records that cannot be decoded are left out."""
     addresses = {}
     for item in items:
+        name = item.key.removeprefix(AGENTS_PREFIX)
         try:
-            record = decode_json(item.value, AgentRecord)
+            addresses[name] = _decode_address(item.value)
         except msgspec.DecodeError as exc:
             LOGGER.warning(
                 "record-unreadable",
                 extra={"key": item.key, "error": str(exc)},
             )
-            continue
-        service = record.worker.service if record.worker is not None else ""
-        name = item.key.removeprefix(AGENTS_PREFIX)
-        addresses[name] = AgentAddress(
-            record.address, service, record.incarnation
-        )
     return addresses
+
+
+def _decode_address(value: bytes) -> AgentAddress:
+    """Decode the record of an agent as far as an entry uses it.
+
+    An agent is dialed also if its record has an odd worker: it may have taken
+    the heartbeat of another writer for that of its worker.
+
+    :raises msgspec.DecodeError: if the address cannot be read.
+    """
+    try:
+        record = decode_json(value, AgentRecord)
+    except msgspec.ValidationError:
+        agent = decode_json(value, _AgentOnly)
+        return AgentAddress(agent.address, "", agent.incarnation)
+    service = record.worker.service if record.worker is not None else ""
+    return AgentAddress(record.address, service, record.incarnation)
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+from briarford.bounds import MAX_COUNT, Count, Labels, Name, SocketAddress
+
 __all__ = [
     "Capacity",
     "EndedRow",
@@ -16,10 +19,17 @@
     "OrderResult",
     "RunListing",
     "RunningRow",
+    "WorkerId",
     "WorkerReport",
 ]
 
 
+# Calls to the worker carry its id in a header.
+WorkerId = Annotated[
+    str, msgspec.Meta(pattern=r"\A[\x21-\x7e]+\Z", max_length=256)
+]
+
+
 class Capacity(msgspec.Struct, frozen=True):
     """An amount of processors, memory and accelerators.
 
@@ -28,9 +38,9 @@
     :param gpu: accelerators.
     """
 
-    cpu: int
-    memory_mb: int
-    gpu: int
+    cpu: Count
+    memory_mb: Count
+    gpu: Count
 
 
 class WorkerReport(msgspec.Struct, frozen=True):
@@ -53,17 +63,17 @@
         in Unix seconds on the agent's clock; 0 if unknown.
     """
 
-    worker: str
-    born_ms: int
-    service: str
-    address: str
-    zone: str
+    worker: WorkerId
+    born_ms: Count
+    service: Name
+    address: SocketAddress
+    zone: Name
     capacity: Capacity
-    labels: tuple[str, ...]
+    labels: Labels
     draining: bool
-    clock_ms: int
-    sequence: int
-    leaves_at: float = 0.0
+    clock_ms: Count
+    sequence: Count
+    leaves_at: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COUNT)] = 0.0
 
 
 class OrderResult(enum.StrEnum):
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -20,23 +20,28 @@
 from hypothesis import strategies as st
 
 from briarford.exceptions import SettingsError
-from briarford.messages import decode, encode
-from briarford.requests import Dispatcher
+from briarford.messages import decode, decode_json, encode
+from briarford.requests import DialAgent, Dispatcher
 from briarford.routes import Route
 from briarford.runs import (
     AgentAddress,
     AgentBatch,
+    Attach,
     Attached,
     EntryBatch,
     ListingFailure,
     RunAgent,
     RunListing,
+    StartRun,
+    WorkerReport,
 )
-from briarford.runs.effects import PlaceOrder
+from briarford.runs.effects import PlaceOrder, SendToEntry
+from briarford.store import KeyValue
+from briarford_daemon.addresses import split_address
 from briarford_daemon.fleet.clock import BootClock
-from briarford_daemon.fleet.registry import _decode_addresses
+from briarford_daemon.fleet.registry import AgentRecord, _decode_addresses
 from briarford_daemon.fleet.settings import load_fleet_settings
-from briarford_daemon.http_client import HttpAnswer
+from briarford_daemon.http_client import HttpAnswer, _encode_request
 from briarford_platform.configuration import OperatorConfiguration
 from briarford_platform.jobs import MAX_STEPS, MAX_TASKS, decode_job
 from briarford_platform.store import _Events, _Item, _key_value, _Range
@@ -80,7 +85,13 @@
     "running": [["j.0.0.0", 1, "", 40, 3]],
     "ended": [[1, "j.0.0.1", 1, "done", ""]],
 }
-RECORD = {"address": "10.0.0.1:80", "worker": None, "slowness": 1.2}
+WORKER = decode_report("w", json.dumps(REPORT).encode(), NOW)
+RECORD = {
+    "address": "10.0.0.1:80",
+    "worker": msgspec.to_builtins(WORKER),
+    "slowness": 1.2,
+    "incarnation": "i",
+}
 ITEM = {"key": "agents/a", "value": "e30=", "revision": 3}
 RANGE = {"items": [ITEM], "as_of": 9, "has_more": False}
 EVENTS = {"events": [ITEM], "as_of": 9}
@@ -142,11 +153,36 @@
     core.turn(1000.0)
 
 
-def report_worker(data: bytes) -> None:
-    """Decode a heartbeat, and have an agent handle it if it is one."""
+def use_worker(report: WorkerReport) -> None:
+    """Use each field of a heartbeat wherever the processes use it."""
     core = RunAgent("a", "i")
-    core.worker_reported(decode_report("w", data, NOW), 1000.0)
-    core.turn(1000.0)
+    core.has_token = True
+    core.attach(1, Attach("e", "i", 1, NOW), NOW)
+    core.worker_reported(report, NOW)
+    core.listing_received(RunListing(report.born_ms, (), ()), NOW, NOW)
+    core.handle(1, StartRun(1, "j.0.0.0", 1, "p", 1, 0, 0, 0.1), NOW)
+    for effect in core.turn(NOW):
+        if isinstance(effect, SendToEntry):
+            batch = AgentBatch((effect.message,))
+            assert decode(encode(batch), AgentBatch) == batch
+    client = WorkerClient(BootClock())
+    body = {"deadline_ms": client._lease_end_ms(report, 1.0)}
+    headers = {"Expected-Instance": report.worker}
+    split_address(report.address)
+    _encode_request(
+        report.address, "POST", "/", msgspec.json.encode(body), headers
+    )
+    record = AgentRecord("10.0.0.1:1", report, core.recorded_slowness, "i")
+    stored = msgspec.json.encode(record)
+    assert decode_json(stored, AgentRecord) == record
+    later = RunAgent("a", "i2")
+    later.restore_worker(report, record.slowness, NOW)
+    assert set(later.state(NOW)) >= {"worker_slowness"}
+
+
+def report_worker(data: bytes) -> None:
+    """Decode a heartbeat, and use it if it is one."""
+    use_worker(decode_report("w", data, NOW))
 
 
 def use_configuration(data: bytes) -> None:
@@ -159,6 +195,15 @@
     item.value = data
     for address in _decode_addresses([_key_value(item)]).values():
         assert isinstance(address, AgentAddress)
+        split_address(address.address)
+        core = Dispatcher("e", "i")
+        core.agents_listed({"a": address}, NOW)
+        assert any(isinstance(e, DialAgent) for e in core.turn(NOW))
+    with contextlib.suppress(msgspec.DecodeError):
+        record = decode_json(data, AgentRecord)
+        if record.worker is not None:
+            use_worker(record.worker)
+        RunAgent("a", "i").restore_worker(WORKER, record.slowness, NOW)
 
 
 def read_page(data: bytes) -> None:
@@ -259,11 +304,47 @@
         decode_report(worker, json.dumps(REPORT).encode(), NOW)
 
 
-@pytest.mark.parametrize("address", ["", "x", "x:", "x:99999", "x:y"])
-def test_a_worker_without_an_address_is_refused(address):
-    body = {**REPORT, "address": address}
+BAD_ADDRESSES = [
+    *("", "x", "x:", "x:99999", "x:y", "x:80", "\u00e9:80", ":80"),
+    *("10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:\u00b2", "10.0.0.1:-1"),
+    *("10.0.0.1:80\n", "10.0.0.1\r\nX: y:80", "10.0.0.256:80", "1.2.3:80"),
+    *("a" * 300 + ":80", "10.0.0.1:" + "9" * 5000, "[::1%lo]:80", "[::1]:0"),
+]
+
+
+@pytest.mark.parametrize("address", BAD_ADDRESSES, ids=lambda a: repr(a[:20]))
+def test_an_address_that_cannot_be_dialed_is_refused(address):
+    """Guards against tasks that end with a dial, and against look-ups."""
+    body = json.dumps({**REPORT, "address": address}).encode()
     with pytest.raises(msgspec.DecodeError):
-        decode_report("w", json.dumps(body).encode(), NOW)
+        decode_report("w", body, NOW)
+    record = json.dumps({**RECORD, "address": address}).encode()
+    assert not _decode_addresses([KeyValue("agents/a", record, 1)])
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:1", "[fd00::1]:65535"])
+def test_an_address_of_either_family_is_read(address):
+    body = json.dumps({**REPORT, "address": address}).encode()
+    assert decode_report("w", body, NOW).address == address
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{n: v} for n in ("born", "sequence", "clock_ms") for v in (-1, 2**64)],
+    ids=str,
+)
+def test_a_number_that_cannot_be_sent_on_is_refused(change):
+    """Guards against records and frames that cannot be encoded."""
+    with pytest.raises(msgspec.DecodeError):
+        decode_report("w", json.dumps({**REPORT, **change}).encode(), NOW)
+
+
+def test_an_agent_with_an_odd_worker_in_its_record_is_still_listed():
+    """An agent of an earlier build may have stored a stray heartbeat."""
+    worker = {**RECORD["worker"], "born_ms": 2**70}
+    record = json.dumps({**RECORD, "worker": worker}).encode()
+    found = _decode_addresses([KeyValue("agents/a", record, 1)])
+    assert found == {"a": AgentAddress("10.0.0.1:80", "", "i")}
 
 
 ORDER = PlaceOrder(1, "j.0.0.0", 1, "p", 9e12)
@@ -296,6 +377,12 @@
         {"running": [["j"]]},
         {"running": [[]]},
         {"running": [["j", 1e400, "", 1]]},
+        {"running": [["j", 2**64, "", 1]]},
+        {"running": [["j", 1e300, "", 1]]},
+        {"running": [["j", -1, "", 1]]},
+        {"ended": [[2**70, "j", 1, "done"]]},
+        {"clock_ms": 2**70},
+        {"born": 2**70},
         {"ended": [["one", "j", 1, "done"]]},
         {"ended": [[1]]},
         {"running": 5},
