Log each odd record and claim once

What operators saw: an unreadable entry under agents/ was logged with each listing and each change, at every entry, for as long as it stood; a stray heartbeat would be logged with each repeat.

Cause: the lines were written where the value was read.

Change: an unreadable record is logged once per version, a claim that was ignored, checked or refuted only if it differs from the last one; all of them are counted.

Test: test_an_unreadable_record_is_logged_once_per_version, red before.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -279,8 +279,12 @@
             record = decode_json(value, AgentRecord)
         except msgspec.DecodeError as exc:
             LOGGER.warning("record-unreadable", extra={"error": str(exc)})
-        else:
+            return
+        try:
             self._on_record_found(record)
+        except Exception:
+            # The agent has to register in any case.
+            LOGGER.exception("record-failed", extra={"key": self._key})
 
 
 class AgentDirectory:
@@ -306,6 +310,7 @@
         self._on_listed = on_listed
         self._started_at = clock.now()
         self._agents: dict[str, AgentAddress] = {}
+        self._unreadable: dict[str, int] = {}  # versions by key
         pace = WatchPace(
             WATCH_WAIT_S, RELIST_PERIOD_S, POLL_PERIOD_S, retry_at_once=False
         )
@@ -323,7 +328,10 @@
 
     def listed(self, listing: KeyListing) -> None:
         """Replace all agents."""
-        self._agents = _decode_addresses(listing.items)
+        self._agents = self._decode(listing.items)
+        listed = {item.key for item in listing.items}
+        for key in self._unreadable.keys() - listed:
+            del self._unreadable[key]
         self._on_listed(self._agents)
 
     def changed(self, changes: KeyChanges) -> None:
@@ -332,23 +340,28 @@
             return
         for key in changes.deleted:
             self._agents.pop(key.removeprefix(AGENTS_PREFIX), None)
-        self._agents.update(_decode_addresses(changes.written))
+        self._agents.update(self._decode(changes.written))
         self._on_listed(self._agents)
 
+    def _decode(self, items: Iterable[KeyValue]) -> dict[str, AgentAddress]:
+        """Return agents by name; records that cannot be decoded are left out.
 
-def _decode_addresses(items: Iterable[KeyValue]) -> dict[str, AgentAddress]:
-    """Return agents by name; records that cannot be decoded are left out."""
-    addresses = {}
-    for item in items:
-        name = item.key.removeprefix(AGENTS_PREFIX)
-        try:
-            addresses[name] = _decode_address(item.value)
-        except msgspec.DecodeError as exc:
-            LOGGER.warning(
-                "record-unreadable",
-                extra={"key": item.key, "error": str(exc)},
-            )
-    return addresses
+        Each version of such a record is logged once.
+        """
+        addresses = {}
+        for item in items:
+            name = item.key.removeprefix(AGENTS_PREFIX)
+            try:
+                addresses[name] = _decode_address(item.value)
+            except msgspec.DecodeError as exc:
+                if self._unreadable.get(item.key) == item.version:
+                    continue
+                self._unreadable[item.key] = item.version
+                LOGGER.warning(
+                    "record-unreadable",
+                    extra={"key": item.key, "error": str(exc)},
+                )
+        return addresses
 
 
 def _decode_address(value: bytes) -> AgentAddress:
--- a/packages/briarford-daemon/tests/test_agent_directory.py
+++ b/packages/briarford-daemon/tests/test_agent_directory.py
@@ -131,3 +131,15 @@
             await asyncio.sleep(0.001)
     task.cancel()
     assert listings == [{"a", "b"}, {"z"}]
+
+
+def test_an_unreadable_record_is_logged_once_per_version(caplog):
+    """It stays for days, and is read twelve times a minute."""
+    agents = []
+    directory = AgentDirectory(None, BootClock(), agents.append)
+    for version in (3, 3, 4, 4):
+        odd = KeyValue("agents/odd", b"[" * 9999, version)
+        directory.listed(KeyListing(5, (item("a", 1), odd)))
+        directory.changed(KeyChanges(6, (odd,), ()))
+    assert all(set(found) == {"a"} for found in agents)
+    assert len(caplog.records) == 2
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -120,6 +120,7 @@
         self._slowness = Slowness()
         self._contact = WorkerContact()
         self._claims = WorkerClaims()
+        self._logged_claims: dict[str, dict[str, Any]] = {}
         self._next_heartbeat = 0.0
         self._turn_needed = True
         self._statuses = StatusSchedule()
@@ -191,14 +192,21 @@
             self._adopt(claim, True, now)
 
     def _log_claim(self, action: str, report: WorkerReport) -> None:
-        self._log(
-            action,
-            worker=report.worker,
-            born_ms=report.born_ms,
-            service=report.service,
-            address=report.address,
-            sequence=report.sequence,
-        )
+        """Log what became of a claim; a series of equal ones is logged once.
+
+        Another writer may repeat it for days.
+        """
+        fields: dict[str, Any] = {
+            "worker": report.worker,
+            "born_ms": report.born_ms,
+            "service": report.service,
+            "address": report.address,
+        }
+        if self._logged_claims.get(action) == fields:
+            self.counts[action] += 1
+            return
+        self._logged_claims[action] = fields
+        self._log(action, **fields)
 
     def restore_worker(
         self, report: WorkerReport, slowness: float, now: float
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -36,10 +36,10 @@
     WorkerReport,
 )
 from briarford.runs.effects import PlaceOrder, SendToEntry
-from briarford.store import KeyValue
+from briarford.store import KeyListing, KeyValue
 from briarford_daemon.addresses import split_address
 from briarford_daemon.fleet.clock import BootClock
-from briarford_daemon.fleet.registry import AgentRecord, _decode_addresses
+from briarford_daemon.fleet.registry import AgentDirectory, AgentRecord
 from briarford_daemon.fleet.settings import load_fleet_settings
 from briarford_daemon.http_client import HttpAnswer, _encode_request
 from briarford_platform.configuration import OperatorConfiguration
@@ -190,10 +190,18 @@
     assert cfg is None or cfg.version is not None
 
 
+def list_agents(*items: KeyValue) -> dict[str, AgentAddress]:
+    """Return the agents that an entry knows after a listing."""
+    listings = []
+    directory = AgentDirectory(mock.Mock(), BootClock(), listings.append)
+    directory.listed(KeyListing(1, items))
+    return listings[-1]
+
+
 def read_record(data: bytes) -> None:
     item = msgspec.convert(ITEM, _Item)
     item.value = data
-    for address in _decode_addresses([_key_value(item)]).values():
+    for address in list_agents(_key_value(item)).values():
         assert isinstance(address, AgentAddress)
         split_address(address.address)
         core = Dispatcher("e", "i")
@@ -319,7 +327,7 @@
     with pytest.raises(msgspec.DecodeError):
         decode_report("w", body, NOW)
     record = json.dumps({**RECORD, "address": address}).encode()
-    assert not _decode_addresses([KeyValue("agents/a", record, 1)])
+    assert not list_agents(KeyValue("agents/a", record, 1))
 
 
 @pytest.mark.parametrize("address", ["10.0.0.1:1", "[fd00::1]:65535"])
@@ -343,7 +351,7 @@
     """An agent of an earlier build may have stored a stray heartbeat."""
     worker = {**RECORD["worker"], "born_ms": 2**70}
     record = json.dumps({**RECORD, "worker": worker}).encode()
-    found = _decode_addresses([KeyValue("agents/a", record, 1)])
+    found = list_agents(KeyValue("agents/a", record, 1))
     assert found == {"a": AgentAddress("10.0.0.1:80", "", "i")}
 
 
