Let an error in one dial, read or record end nothing else

Cause: only the expected errors of a dial were handled, so that any other one left the agent marked as being dialed.

Equal errors of an agent's dials are logged once in a row.

Test: test_unexpected_errors.py, five new cases, red before.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -525,13 +525,17 @@
         lease_s = self.core.lease_s(requested_at)
         if lease_s:
             self.core.lease_extended(lease_s, requested_at)
-        listing = await self._worker_api.list_runs(
-            worker,
-            self.core.acked_end,
-            self._fencing_token,
-            wait_s if self.core.reconciled else 0.0,
-            lease_s,
-        )
+        try:
+            listing = await self._worker_api.list_runs(
+                worker,
+                self.core.acked_end,
+                self._fencing_token,
+                wait_s if self.core.reconciled else 0.0,
+                lease_s,
+            )
+        except Exception:
+            self.core.listing_failed(self._clock.now())
+            raise
         if _called_instance(worker) != _called_instance(self.core.worker):
             return None  # the worker has been replaced meanwhile
         if isinstance(listing, ListingFailure):
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/links.py
@@ -179,6 +179,8 @@
         self._outboxes: dict[int, _Outbox[EntryMessage]] = {}
         self._connections: dict[int, FrameConnection] = {}
         self._dials: set[asyncio.Task[None]] = set()
+        # The last error of each agent that could not be dialed since.
+        self._failing: dict[str, str] = {}
 
     def dial(self, agent: str, address: str) -> None:
         """Begin to open a connection to an agent.
@@ -225,18 +227,28 @@
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 await dial(address, RUNS_SERVICE, make_handler)
         except (*CONNECTION_ERRORS, SettingsError) as exc:
-            # A record may have an address that is none.
-            LOGGER.info(
-                "link-lost", extra={"agent": agent, "error": repr(exc)}
-            )
-            self.drop(link)
-            self.forget(link)
+            self._dial_failed(agent, link, exc)
+        except Exception as exc:
+            # The agent is dialed again, as its record may be corrected.
+            LOGGER.exception("dial-failed", extra={"agent": agent})
+            self._dial_failed(agent, link, exc)
+        else:
+            self._failing.pop(agent, None)
         if link in self._connections:
             handler.is_open = True
             self._on_open(agent, link)
         else:
             self._on_closed(agent, None)
 
+    def _dial_failed(self, agent: str, link: int, exc: Exception) -> None:
+        """Forget the connection; a series of equal errors is logged once."""
+        error = repr(exc)
+        if self._failing.get(agent) != error:
+            self._failing[agent] = error
+            LOGGER.info("link-lost", extra={"agent": agent, "error": error})
+        self.drop(link)
+        self.forget(link)
+
     def handle_batch(self, link: int, batch: AgentBatch) -> None:
         """Pass the messages of a batch on."""
         self._on_messages(link, batch.messages)
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/prefix_watch.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/prefix_watch.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
 
@@ -22,6 +22,8 @@
 
 LOGGER = logging.getLogger("briarford.registry")
 
+T = TypeVar("T", KeyListing, KeyChanges)
+
 # A call takes 4 ms, and 50 times as long while the service is slow.
 CALL_TIMEOUT_S = 0.8
 
@@ -118,7 +120,7 @@
             self._revision = listing.revision
             self._relist_at = now + self._pace.relist_s
             for follower in self._followers:
-                follower.listed(listing)
+                self._pass_on(follower.listed, listing)
             return
         changes = await self._store.changes(
             self._prefix, self._revision, now + self._pace.wait_s
@@ -128,4 +130,11 @@
             return
         self._revision = changes.revision
         for follower in self._followers:
-            follower.changed(changes)
+            self._pass_on(follower.changed, changes)
+
+    def _pass_on(self, receive: Callable[[T], None], read: T) -> None:
+        """Pass on what was read; the other followers and reads go on."""
+        try:
+            receive(read)
+        except Exception:
+            LOGGER.exception("read-failed", extra={"prefix": self._prefix})
--- a/packages/briarford-daemon/tests/test_unexpected_errors.py
+++ b/packages/briarford-daemon/tests/test_unexpected_errors.py
@@ -10,7 +10,9 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from unittest import mock
 
+import msgspec
 import pytest
 
 from briarford.messages import encode
@@ -27,6 +29,7 @@
     WorkerReport,
 )
 from briarford.runs.orders import MAX_ORDERS
+from briarford.store import KeyChanges, KeyListing, KeyValue
 from briarford_daemon import driver
 from briarford_daemon.fleet import tasks
 from briarford_daemon.fleet.agent import FleetAgent
@@ -34,6 +37,8 @@
 from briarford_daemon.fleet.driver import TurnDriver
 from briarford_daemon.fleet.links import EntryLinks
 from briarford_daemon.fleet.metrics import FleetMetrics
+from briarford_daemon.fleet.prefix_watch import PrefixWatch, WatchPace
+from briarford_daemon.fleet.registry import AgentRecord, AgentRegistration
 from briarford_daemon.fleet.settings import FleetSettings
 from briarford_daemon.fleet.tasks import BackgroundTasks
 from briarford_daemon.frames import FrameConnection, FrameServer, dial
@@ -314,3 +319,70 @@
     rendered = metrics.render().decode()
     assert 'kind="given-up",priority="2",process="a"} 3' in rendered
     assert 'waited_seconds_total{priority="2",process="a"} 1.5' in rendered
+
+
+@pytest.mark.parametrize("error", [ValueError, UnicodeError, OverflowError])
+async def test_an_agent_is_dialed_again_after_an_unexpected_error(
+    monkeypatch, counted_errors, error
+):
+    """Guards against an agent that counts as being dialed for good.
+
+    Its record may have an address that another writer has made up.
+    """
+
+    async def fail(*args):
+        raise error("planned")
+
+    monkeypatch.setattr("briarford_daemon.fleet.links.dial", fail)
+    closed = []
+    ignore = mock.Mock()
+    links = EntryLinks(ignore, ignore, lambda *args: closed.append(args))
+    for n in range(2):
+        links.dial("a", "10.0.0.1:1")
+        await until(lambda n=n: len(closed) > n)
+    assert closed == [("a", None)] * 2
+    assert counted_errors["dial-failed"] == 2
+
+
+async def test_a_follower_that_fails_stops_neither_the_watch_nor_others(
+    counted_errors,
+):
+    """Guards against one odd key that hides the changes of all others."""
+    failing, other = mock.Mock(), mock.Mock()
+    failing.listed.side_effect = failing.changed.side_effect = PlannedError
+    store = mock.AsyncMock()
+    store.list.return_value = KeyListing(1, ())
+    store.changes.return_value = KeyChanges(2, (), ())
+    pace = WatchPace(0.1, 1000.0, 0.001, retry_at_once=False)
+    watch = PrefixWatch(
+        store, BootClock(), "x/", pace, (failing, other), lambda now: 0.001
+    )
+    task = asyncio.create_task(watch.run())
+    await until(lambda: other.changed.call_count > 2)
+    task.cancel()
+    assert failing.changed.call_count > 1
+    assert store.list.call_count == 1
+    assert counted_errors["read-failed"] > 2
+
+
+async def test_an_agent_registers_whatever_its_stored_record_causes(
+    counted_errors,
+):
+    store = mock.AsyncMock()
+    value = msgspec.json.encode(AgentRecord("10.0.0.1:1"))
+    store.get.return_value = KeyValue("agents/a", value, 3)
+    store.grant_lease.return_value = "1"
+    store.write.return_value = 4
+    versions = []
+    registration = AgentRegistration(
+        store,
+        BootClock(),
+        "a",
+        lambda: AgentRecord("10.0.0.1:1", incarnation="i"),
+        mock.Mock(side_effect=PlannedError),
+        versions.append,
+        mock.Mock(),
+    )
+    assert await registration._renew()
+    assert versions == [4]
+    assert counted_errors["record-failed"] == 1
