Write an agent's record again when another writer has overwritten it

Cause: any readable record with an incarnation counted as a later process.

Change: a later process is on the same VM, so its record has the agent's own address, and it keeps it under a lease, which the store reports with the item. Any other record is written again with the next renewal.

What remains: a record with the agent's address under a lease that its writer renews cannot be told from a later process.

Tests: the fake store reports leases, and the later process in the tests has the address of the earlier one, as on the platform; what they check is the same.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -246,7 +246,9 @@
         """Whether another process has written the record after this one.
 
         A process that was frozen for long may wake when another one has taken
-        its place.
+        its place. That one is on the same VM, has the same address and keeps
+        the record under a lease; any other record is of another writer, and
+        is written again.
         """
         if not self._version or item.version <= self._version:
             return False
@@ -254,8 +256,10 @@
             record = decode_json(item.value, AgentRecord)
         except msgspec.DecodeError:
             return False
-        own = self._make_record().incarnation
-        return record.incarnation not in ("", own)
+        own = self._make_record()
+        if not item.leased or record.address != own.address:
+            return False
+        return record.incarnation not in ("", own.incarnation)
 
     async def _is_unchanged(self, value: bytes) -> bool:
         """Whether a stale read shows the record that is to be stored.
--- a/packages/briarford-daemon/tests/test_agent_registration.py
+++ b/packages/briarford-daemon/tests/test_agent_registration.py
@@ -28,9 +28,9 @@
         self.after_write = lambda: None
         self.lose_writes = 0
 
-    def put(self, value):
+    def put(self, value, leased=True):
         self.revision += 1
-        self.item = KeyValue("agents/a", value, self.revision)
+        self.item = KeyValue("agents/a", value, self.revision, leased)
         return self.revision
 
     async def _answer(self, kind):
@@ -97,7 +97,7 @@
 
 def encoded(incarnation):
     return msgspec.json.encode(
-        AgentRecord("10.0.0.9:1", None, 1.0, incarnation)
+        AgentRecord("10.0.0.1:1", None, 1.0, incarnation)
     )
 
 
@@ -187,3 +187,33 @@
         await agent.renew()
     assert len(store.leases) == granted
     assert agent.replaced == 1
+
+
+FOREIGN = {
+    "no lease": (encoded("i2"), False),
+    "other address": (
+        msgspec.json.encode(AgentRecord("10.0.0.9:1", None, 1.0, "i2")),
+        True,
+    ),
+    "odd address": (b'{"address":"10.0.0.1:99999","incarnation":"i2"}', True),
+    "deep": (b"[" * 99_999, True),
+    "of no process": (encoded(""), True),
+}
+
+
+@pytest.mark.parametrize(
+    ("value", "leased"), FOREIGN.values(), ids=FOREIGN.keys()
+)
+async def test_a_record_of_another_writer_is_written_again(value, leased):
+    """Guards against an agent that waits for a process that is not there.
+
+    Entries dial the address in the record, so the agent would get no runs.
+    """
+    store = FakeStore()
+    agent = Agent(store)
+    await agent.renew()
+    store.put(value, leased)
+    await agent.renew()
+    assert agent.replaced == 0
+    assert store.item.value == msgspec.json.encode(agent.record)
+    assert agent.versions == [41, 43]
--- a/packages/briarford/src/briarford/store/interface.py
+++ b/packages/briarford/src/briarford/store/interface.py
@@ -12,17 +12,20 @@
 __all__ = ["ChangeStore", "KeyChanges", "KeyListing", "KeyValue", "Store"]
 
 
-class KeyValue(msgspec.Struct, frozen=True):
+class KeyValue(msgspec.Struct, frozen=True, omit_defaults=True):
     """One key with its value.
 
     :param key: the key.
     :param value: its value, at most 1 MB.
     :param version: 1 when the key is created, one more with each write.
+    :param leased: whether it ends with a lease; False if the store does not
+        report it.
     """
 
     key: str
     value: bytes
     version: int
+    leased: bool = False
 
 
 class KeyListing(msgspec.Struct, frozen=True):
