Believe an agent that answers, not the record that names its address

Cause: an entry closed a connection when the record changed, whatever came on it, and did not compare the name that an attached agent gives.

Change: an agent that answers and takes runs keeps its connection; the address in the record is dialed once it does not. A process that has been replaced takes no runs, so the next one is dialed. A connection on which an agent of another name answers is closed, and not opened again to the same address.

--- a/packages/briarford/src/briarford/requests/agents.py
+++ b/packages/briarford/src/briarford/requests/agents.py
@@ -102,6 +102,8 @@
     :param capabilities: that it has announced.
     :param worker_seen: incarnation of the worker in the latest status on the
         open connection that accepted runs; empty if there was none.
+    :param dialed_address: address of the latest attempt to connect.
+    :param rejected_address: where an agent of another name has answered.
     """
 
     name: str
@@ -140,6 +142,13 @@
     worker_seen: str = ""
     build: str = ""
     capabilities: frozenset[str] = frozenset()
+    dialed_address: str = ""
+    rejected_address: str = ""
+
+    @property
+    def has_moved(self) -> bool:
+        """Whether the open connection is not to its registered address."""
+        return self.link is not None and self.dialed_address != self.address
 
     @property
     def service(self) -> str:
--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -151,8 +151,10 @@
         """Update the known agents from a read of the registry.
 
         New agents are added, and an agent that moved is connected to at its
-        new address. An agent that is no longer listed stays known for a
-        while, as its runs and its connection may go on.
+        new address, unless it still answers and takes runs at the previous
+        one: another writer may have overwritten its record. An agent that is
+        no longer listed stays known for a while, as its runs and its
+        connection may go on.
 
         :param directory: all registered agents by name.
         :param now: Unix time in seconds.
@@ -167,8 +169,9 @@
                 self._log("agent-found", agent=name, address=listed.address)
             elif view.address != listed.address:
                 self._log("agent-moved", agent=name, address=listed.address)
-                self.close(view)
                 view.address = listed.address
+                if not _is_in_use(view, now):
+                    self.close(view)
             if view.listed_incarnation != listed.incarnation:
                 view.listed_incarnation = listed.incarnation
                 view.failing_since = 0.0
@@ -251,6 +254,24 @@
             view.dial_at = now
         self._review_at = now
 
+    def reject(self, view: AgentView, owner: str, now: float) -> None:
+        """Close the connection to an agent of another name.
+
+        A record of another writer names its address. It is not dialed there
+        again: each connection takes the session from that of its owner.
+
+        :param owner: name of the agent that has answered.
+        :param now: Unix time in seconds.
+        """
+        self._log("agent-misnamed", agent=view.name, owner=owner)
+        self.close(view)
+        view.rejected_address = view.dialed_address
+        owners_view = self._views.get(owner)
+        if owners_view is not None:
+            self.close(owners_view)
+            owners_view.dial_at = now
+        self._review_at = now
+
     def close(self, view: AgentView) -> None:
         """Close the connection to an agent, if there is one."""
         if view.link is not None:
@@ -308,6 +329,9 @@
                 self._log("agent-misses-orders", agent=view.name)
                 self.close(view)
                 view.dial_at = now
+            elif view.has_moved and not _is_in_use(view, now):
+                self.close(view)
+                view.dial_at = now
             if view.unowned:
                 lost += [(view, d) for d in _pop_ended_unowned(view, now)]
             if view.listed:
@@ -378,8 +402,11 @@
 
     def _dial(self, view: AgentView, now: float) -> None:
         """Open a connection to an agent if there is none and it is time."""
+        if view.address == view.rejected_address:
+            return
         if view.link is None and not view.dialing and now >= view.dial_at:
             view.dialing = True
+            view.dialed_address = view.address
             # Repeated attempts belong to one series, so that an agent that
             # does not answer soon stops counting as connected.
             if now - view.dialing_since > ATTACH_TIMEOUT_S + SILENCE_S:
@@ -398,6 +425,15 @@
         self._emit(EntryEvent(action, fields))
 
 
+def _is_in_use(view: AgentView, now: float) -> bool:
+    """Whether an agent answers and takes runs."""
+    is_silent = view.last_received_at < now - SILENCE_S
+    status = view.status
+    return (
+        view.attached and not is_silent and bool(status and status.accepting)
+    )
+
+
 def _counts_as_connected(view: AgentView, now: float) -> bool:
     """Whether an agent counts towards the target of connections.
 
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -329,6 +329,9 @@
         end at the latest when their lease expires. Otherwise orders that the
         agent does not list will not be carried out, and count as lost.
         """
+        if msg.agent != view.name:
+            self._agents.reject(view, msg.agent, now)
+            return
         view.attached = True
         view.capabilities = frozenset(msg.capabilities)
         if view.build != msg.build:
--- a/packages/briarford/tests/fleet/test_attachments.py
+++ b/packages/briarford/tests/fleet/test_attachments.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from briarford.requests import attachments
+from briarford.requests import DialAgent, Dispatcher, attachments
 from briarford.requests.attachments import BASE_CONNECTIONS, MAX_CONNECTIONS
-from briarford.runs import AgentHeartbeat, EntryHeartbeat
+from briarford.runs import (
+    AgentAddress,
+    AgentHeartbeat,
+    Attached,
+    EntryHeartbeat,
+    WorkerStatus,
+)
 from fleet.worker import StandInWorker
 from fleet.world import LIST_PERIOD_S, World, request
 
@@ -154,3 +161,65 @@
     world.restart_agent(gone)
     world.run(LIST_PERIOD_S + 0.2)
     assert "a0" in attached(world)
+
+
+NOW = 1000.0
+STATUS = WorkerStatus("w", "desk", "a", (), True, 8000, 8000, 99, 0, 1.0, 0)
+
+
+def dials(core, at):
+    return [
+        (e.agent, e.address) for e in core.turn(at) if isinstance(e, DialAgent)
+    ]
+
+
+def attach(core, agent, link, at):
+    core.link_up(agent, link, at)
+    core.handle(link, Attached("a", "i", (), at), at)
+    core.handle(link, STATUS, at)
+
+
+@pytest.mark.parametrize("first", ["a", "stray"])
+def test_an_agent_is_not_attached_under_a_second_name(first):
+    """Guards against two connections that take one session in turns.
+
+    A record of another writer names the address of an agent.
+    """
+    core = Dispatcher("e", "i")
+    here = AgentAddress("10.0.0.1:1", "desk")
+    second = "a" if first == "stray" else "stray"
+    core.agents_listed({"a": here, "stray": here}, NOW)
+    assert len(dials(core, NOW)) == 2
+    attach(core, first, 1, NOW)
+    attach(core, second, 2, NOW + 0.01)
+    at = NOW + 0.02
+    if "a" in dict(dials(core, at)):
+        attach(core, "a", 3, at)
+    for _ in range(100):
+        at += 0.1
+        core.handle(3 if first == "a" else 2, STATUS, at)
+        assert not dials(core, at)
+    assert {v.name for v in core._agents if v.usable(at)} == {"a"}
+    core.agents_listed({"stray": AgentAddress("10.0.0.2:1", "desk")}, at)
+    assert dials(core, at) == [("stray", "10.0.0.2:1")]
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+def test_an_agent_that_is_in_use_is_not_left_for_another_address(accepts):
+    """Guards against an outage while a record is overwritten.
+
+    A process that has been replaced accepts no runs, and the address of the
+    next one is dialed.
+    """
+    core = Dispatcher("e", "i")
+    core.agents_listed({"a": AgentAddress("10.0.0.1:1", "desk")}, NOW)
+    core.turn(NOW)
+    attach(core, "a", 1, NOW)
+    core.agents_listed({"a": AgentAddress("10.0.0.9:1", "desk")}, NOW + 0.1)
+    assert not dials(core, NOW + 0.1)
+    assert core._agents.get("a").usable(NOW + 0.1)
+    status = msgspec.structs.replace(STATUS, accepting=accepts)
+    core.handle(1, status, NOW + 0.2)
+    expected = [] if accepts else [("a", "10.0.0.9:1")]
+    assert dials(core, NOW + 0.3) == expected
+    assert dials(core, NOW + 2.0) == ([("a", "10.0.0.9:1")] if accepts else [])
