Ask a claimed worker's predecessor twice without a pause

The first request met the connection of the previous worker, and the second one followed after the usual pause of 50 ms.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -247,11 +247,17 @@
         self._wake()
 
     async def _verify_worker(self) -> None:
-        """See at once whether the worker answers, as a claim is pending."""
+        """See at once whether the worker answers, as a claim is pending.
+
+        The first request may meet a connection that has ended, so the second
+        one follows without a pause.
+        """
+        pause_s = 0.0
         try:
             while self.core.has_pending_claim and self.core.has_token:
                 if await self._list_runs(0.0) is None:
-                    await asyncio.sleep(LISTING_RETRY_DELAY_S)
+                    await asyncio.sleep(pause_s)
+                    pause_s = LISTING_RETRY_DELAY_S
         finally:
             self._verifying = False
         self._worker_changed.set()
