Extend no session beyond the agent's own time

What callers would see: a task twice at once.

Cause: the end of a session had no bound but the echo.

Change: an echo counts as at most the present time of the agent.

Test: test_an_echo_of_a_clock_that_was_ahead_keeps_no_runs, red before. Not shown with real processes, which read the same clock.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -603,7 +603,7 @@
         if session is None:
             return
         if isinstance(msg, EntryHeartbeat):
-            session.receive_heartbeat(msg)
+            session.receive_heartbeat(msg, now)
             self.evacuations.merge(msg.evacuations, now)
             return
         self._turn_needed = True
--- a/packages/briarford/src/briarford/runs/sessions.py
+++ b/packages/briarford/src/briarford/runs/sessions.py
@@ -91,7 +91,7 @@
         self._connected = None
         session.link = link
         session.connection = msg.connection
-        session.extend(msg.echo)
+        session.extend(msg.echo, now)
         session.last_status = None
         session.evacuations_sent = 0
         session.losses_sent = 0
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -253,19 +253,22 @@
         """
         return self.expires_at - SESSION_TTL_S
 
-    def extend(self, echo: float) -> None:
+    def extend(self, echo: float, now: float) -> None:
         """Extend the session after an echo of one of the agent's heartbeats.
 
         The session ends a fixed time after that heartbeat was sent, so a
-        message that arrives late does not extend it further.
+        message that arrives late does not extend it further. A previous
+        process of the agent may have sent it, by a clock that was ahead.
 
         :param echo: when the agent sent that heartbeat, on its own clock.
+        :param now: the time on that clock, in Unix seconds.
         """
-        self.expires_at = max(self.expires_at, echo + SESSION_TTL_S)
+        expires_at = min(echo, now) + SESSION_TTL_S
+        self.expires_at = max(self.expires_at, expires_at)
 
-    def receive_heartbeat(self, heartbeat: EntryHeartbeat) -> None:
+    def receive_heartbeat(self, heartbeat: EntryHeartbeat, now: float) -> None:
         """Extend the session and drop the ended runs it acknowledges."""
-        self.extend(heartbeat.echo)
+        self.extend(heartbeat.echo, now)
         self.ended = [e for e in self.ended if e.number > heartbeat.acked]
 
     def add_ended(self, dispatch: int, how: RunEnd, ran_s: float) -> RunEnded:
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -28,6 +28,7 @@
 )
 from briarford.runs.health import Slowness
 from briarford.runs.leases import LEASE_S
+from briarford.runs.state import SESSION_TTL_S
 from fleet.worker import StandInWorker
 
 NOW = 1000.0
@@ -531,3 +532,17 @@
     assert any(isinstance(e, PlaceOrder) for e in effects) is ordered
     ends = [RunEnd.UNAVAILABLE] if not ordered else []
     assert _run_ends(effects) == ends
+
+
+def test_an_echo_of_a_clock_that_was_ahead_keeps_no_runs():
+    """Guards against runs of a dead entry that outlast its client's repeat.
+
+    The clock was stepped back, and the entry echoes a heartbeat that the
+    previous process of the agent has sent.
+    """
+    agent = make_agent()
+    agent.attach(0, Attach("e", "i", 1, NOW + 60.0), NOW)
+    agent.handle(0, EntryHeartbeat(NOW + 60.0, 0), NOW)
+    start(agent, "j.0.0.0", 1)
+    effects = agent.turn(NOW + SESSION_TTL_S + 0.1)
+    assert any(isinstance(e, WithdrawRun) for e in effects)
