Soak real processes with overlapping faults and odd input

Entries, agents, workers that crash and are replaced, signals in series, heartbeats and records of other writers, faults of the store and changes of the configuration overlap while clients keep connections and repeat. Checked: TWICE, REFUSED, SERVED once the faults have ended, and no process that ends by itself or logs an error.

The comparison of events knows the function that logs claims.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 PACKAGES := packages/briarford packages/briarford-daemon packages/briarford-bench packages/briarford-cli platform
 
-.PHONY: demo test check format soak explore
+.PHONY: demo test check format soak soak-processes explore
 
 .venv/.installed: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -32,6 +32,13 @@
 soak: .venv/.installed
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
 
+# Real processes under overlapping faults; other sizes:
+# make soak-processes SEEDS="0 50" FLEET="--entries 8 --agents 40"
+SEEDS ?= 0 50
+FLEET ?=
+soak-processes: .venv/.installed
+	PYTHONPATH=packages/briarford/tests:tests/adapter $(BIN)/python tests/adapter/soak.py --seeds $(SEEDS) $(FLEET)
+
 # All pairs of faults at all of some moments, against the cores of the fleet;
 # only those with one of some faults: make explore FAULTS="client_is_reset";
 # random series of three to six: make explore FAULTS="--series 1000"
--- a/packages/briarford-daemon/tests/test_events_page.py
+++ b/packages/briarford-daemon/tests/test_events_page.py
@@ -28,7 +28,7 @@
     ),
 ]
 LOGGED = re.compile(
-    r"(?:_log|LOGGER\.\w+|EVENTS\.\w+|_stop_session_runs)\("
+    r"(?:_log|_log_claim|LOGGER\.\w+|EVENTS\.\w+|_stop_session_runs)\("
     r"\s*(?:session, )?[\"']([a-z][a-z-]+)[\"']"
 )
 
--- /dev/null
+++ b/tests/adapter/soak.py
@@ -0,0 +1,447 @@
+"""Runs real processes under overlapping faults: ``make soak-processes``.
+
+Entries, agents, their workers and the store are separate processes or servers
+on loopback. Signals, restarts, crashed and replaced workers, heartbeats and
+records of other writers, and faults of the store come in series and overlap,
+while clients keep their connections and repeat what breaks. Then the faults
+end. What the clients and the workers see is checked:
+
+- TWICE: no two runs of a task overlap;
+- REFUSED: a job whose only answer was a refusal has had no run;
+- SERVED: once the faults have ended, jobs are served again, also beside odd
+  records that stay;
+- LOST: no process has ended by itself, or logged an error.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from fleet.worker import Interval
+from stand_in import StoreStandIn
+from test_processes import CONFIG, WorkerServer, free_port
+
+REPEAT_DELAY_S = 1.3
+REPORT_PERIOD_S = 1.5
+JOB_PERIOD_S = 0.08
+CALM_S = 6.0
+LAST_JOBS = 6
+REFUSALS = frozenset({429, 503})
+
+Action = Callable[["Soak"], Awaitable[None]]
+ACTIONS: list[Action] = []
+
+ODD_FIELDS: list[dict[str, Any]] = [
+    {"service": "archive"},
+    {"address": "127.0.0.1:9"},
+    {"address": "10.0.0.1:70000"},
+    {"address": "no-such-host.example:80"},
+    {"born": 10**6},
+    {"born": 2**70},
+    {"sequence": 2**50},
+    {"clock_ms": 2**70},
+    {"labels": ["x"]},
+    {"zone": "q"},
+    {"state": "asleep"},
+    {"capacity": None},
+]
+ODD_RECORDS = [
+    b"",
+    b"\xff",
+    b"[" * 50_000,
+    b'{"address":"10.0.0.1:70000"}',
+    b'{"address":"10.0.0.1:\xc2\xb2"}',
+    b'{"address":"no-such-host.example:80"}',
+    b'{"address":"127.0.0.1:9","incarnation":"x"}',
+    b'{"address":"127.0.0.1:9","slowness":-1}',
+]
+
+
+def action(act: Action) -> Action:
+    """Register something that happens during a soak."""
+    ACTIONS.append(act)
+    return act
+
+
+class SoakWorker(WorkerServer):
+    """A worker that may crash, start again and be replaced."""
+
+    def __init__(self, number: int, control: str) -> None:
+        super().__init__()
+        self.core.name = f"i-{number}"
+        self.control = control
+        self.port = free_port()
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def up(self) -> bool:
+        return self._runner is not None
+
+    async def boot(self) -> None:
+        @web.middleware
+        async def check_instance(req: web.Request, handler: Any) -> Any:
+            if req.headers.get("Expected-Instance") != self.core.name:
+                return web.json_response({}, status=421)
+            return await handler(req)
+
+        app = self.app()
+        app.middlewares.append(check_instance)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.01)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", self.port).start()
+
+    async def crash(self) -> None:
+        self.core.crash(self.loop.time())
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    def report(self) -> dict[str, Any]:
+        self.core.sequence += 1
+        return {
+            "service": "desk",
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "mem_mb": 1000, "gpu": 0},
+            "sequence": self.core.sequence,
+            "clock_ms": self._clock_ms(),
+            "born": self.core.born_ms,
+        }
+
+
+class Soak:
+    """One run of the processes under the faults of a seed.
+
+    :param seed: of all random choices.
+    :param folder: for settings and logs.
+    :param entries: number of entries.
+    :param agents: number of agents, each with a worker.
+    """
+
+    def __init__(
+        self, seed: int, folder: Path, entries: int, agents: int
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.store = StoreStandIn()
+        self.entries = [f"entry-{n}" for n in range(entries)]
+        self.agents = [f"agent-{n}" for n in range(agents)]
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.workers: list[SoakWorker] = []
+        self.broken: list[str] = []
+        self.refused: list[str] = []
+        self.statuses: dict[int, int] = {}
+        self._ended_by_us: set[int] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._jobs = itertools.count(1)
+
+    # -- processes ----------------------------------------------------------
+
+    async def start(self) -> None:
+        self.put("op/config", json.dumps(CONFIG).encode())
+        self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.01)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        for name in [*self.entries, *self.agents]:
+            self.settings[name] = {
+                "name": name,
+                "zone": "z",
+                "ip": "127.0.0.1",
+                "rpc_port": free_port(),
+                "store": f"{host}:{port}",
+                "http": f"127.0.0.1:{free_port()}",
+                "health": f"127.0.0.1:{free_port()}",
+                "metrics_port": free_port(),
+            }
+            self._tasks.append(asyncio.create_task(self._supervise(name)))
+        for number, name in enumerate(self.agents):
+            worker = SoakWorker(number, self.settings[name]["http"])
+            await worker.boot()
+            self.workers.append(worker)
+            self._tasks.append(asyncio.create_task(self._report(worker)))
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key as an operator or another writer does."""
+        self.store.revision += 1
+        text = base64.b64encode(value).decode()
+        self.store._put({"key": key, "value": text})
+
+    async def _supervise(self, name: str) -> None:
+        """Start a process, and again whenever it has ended."""
+        role = name.partition("-")[0]
+        cfg = self.settings[name]
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            "\n".join(f"{k} = {json.dumps(v)}" for k, v in cfg.items())
+        )
+        listen = [cfg["http"]]
+        if role == "agent":
+            listen.append(f"{cfg['ip']}:{cfg['rpc_port']}")
+        while True:
+            with (self.folder / f"{name}.log").open("ab") as log:
+                process = await asyncio.create_subprocess_exec(
+                    *(sys.executable, "-m", "briarford_platform", role),
+                    *listen,
+                    env={**os.environ, "BRIARFORD_NODE_FILE": str(path)},
+                    cwd=self.folder,
+                    stdout=log,
+                    stderr=log,
+                )
+            self.processes[name] = process
+            status = await process.wait()
+            if process.pid not in self._ended_by_us:
+                self.broken.append(f"LOST: {name} ended, status {status}")
+            await asyncio.sleep(0.3)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that has begun to serve."""
+        process = self.processes.get(name)
+        log = self.folder / f"{name}.log"
+        if process is None or process.returncode is not None:
+            return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._ended_by_us.add(process.pid)
+        elif '"started"' not in log.read_text().rpartition('"stopped"')[2]:
+            return
+        process.send_signal(number)
+
+    async def put_report(
+        self, worker: SoakWorker, name: str, body: dict[str, Any]
+    ) -> None:
+        """Send a heartbeat to the agent of a worker."""
+        url = f"http://{worker.control}/briarford/instances/{name}"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with self.http.put(url, json=body, timeout=timeout):
+                pass
+
+    async def _report(self, worker: SoakWorker) -> None:
+        while True:
+            if worker.up:
+                body = worker.report()
+                await self.put_report(worker, worker.core.name, body)
+            await asyncio.sleep(REPORT_PERIOD_S)
+
+    # -- clients ------------------------------------------------------------
+
+    async def _submit(self, entry: str, job: str, patience_s: float) -> int:
+        """Submit a job; 0 if its connection broke or its client left."""
+        step = {"count": 2, "cpu": 1000, "mem_mb": 1, "estimated_ms": 300}
+        body = {"spec": "s", "best_effort": True, "steps": [step]}
+        url = f"http://{self.settings[entry]['http']}/p/{job}"
+        try:
+            async with self.http.post(
+                url,
+                json=body,
+                headers={"Host": "h.example", "Deadline-Ms": "8000"},
+                timeout=aiohttp.ClientTimeout(total=patience_s),
+            ) as resp:
+                await resp.read()
+                return resp.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def client(self, patience_s: float = 8.0) -> int:
+        """Submit a job, and repeat it at another entry while it breaks."""
+        job = f"{next(self._jobs):016x}"
+        for worker in self.workers:
+            worker.core.needs[job] = (1000, self.rng.uniform(0.1, 1.2))
+        status = 0
+        for repeat in range(3):
+            entry = self.rng.choice(self.entries)
+            status = await self._submit(entry, job, patience_s)
+            if status in REFUSALS and not repeat:
+                self.refused.append(job)
+            if status not in (0, 502):
+                break
+            await asyncio.sleep(REPEAT_DELAY_S)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        return status
+
+    async def _traffic(self) -> None:
+        async with asyncio.TaskGroup() as clients:
+            while not self.calm:
+                patience_s = self.rng.choice((8.0, 8.0, 8.0, 0.6))
+                clients.create_task(self.client(patience_s))
+                await asyncio.sleep(JOB_PERIOD_S)
+
+    # -- the run ------------------------------------------------------------
+
+    async def run(self, seconds: float) -> list[str]:
+        """Play the faults for a time, and return what was broken."""
+        loop = asyncio.get_running_loop()
+        self.calm = False
+        await self.start()
+        try:
+            await asyncio.sleep(3.0)
+            traffic = asyncio.create_task(self._traffic())
+            faults_end = loop.time() + seconds
+            async with asyncio.TaskGroup() as faults:
+                while loop.time() < faults_end:
+                    act = self.rng.choice(ACTIONS)
+                    faults.create_task(act(self))
+                    await asyncio.sleep(self.rng.uniform(0.05, 1.0))
+            self.calm = True
+            await traffic
+            await asyncio.sleep(CALM_S)
+            last = await asyncio.gather(
+                *(self.client() for _ in range(LAST_JOBS))
+            )
+            if any(status != 200 for status in last):
+                self.broken.append(f"SERVED: {last} after the faults")
+            self._check()
+        finally:
+            await self.stop()
+        return self.broken
+
+    def _check(self) -> None:
+        runs: dict[str, list[Interval]] = {}
+        for worker in self.workers:
+            worker.core.advance(worker.loop.time())
+            for run in worker.core.history:
+                runs.setdefault(run.task, []).append(run)
+        for task, found in runs.items():
+            found.sort(key=lambda r: r.start)
+            for one, other in itertools.pairwise(found):
+                if other.start < one.end:
+                    self.broken.append(f"TWICE: {task} {one} {other}")
+        started = {task.partition(".")[0] for task in runs}
+        for job in self.refused:
+            if job in started:
+                self.broken.append(f"REFUSED: a run of {job}")
+        for log in self.folder.glob("*.log"):
+            for line in log.read_text().splitlines():
+                if '"level":"ERROR"' in line or "Traceback" in line:
+                    self.broken.append(f"LOST: {log.stem}: {line[:300]}")
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for worker in self.workers:
+            await worker.crash()
+        await self.http.close()
+        await self._runner.cleanup()
+
+
+@action
+async def kill(soak: Soak) -> None:
+    name = soak.rng.choice([*soak.entries, *soak.agents])
+    soak.signal(name, signal.SIGKILL)
+
+
+@action
+async def terminate(soak: Soak) -> None:
+    name = soak.rng.choice([*soak.entries, *soak.agents])
+    soak.signal(name, signal.SIGTERM)
+
+
+@action
+async def reload_settings(soak: Soak) -> None:
+    for name in [*soak.entries, *soak.agents]:
+        soak.signal(name, signal.SIGHUP)
+
+
+@action
+async def freeze(soak: Soak) -> None:
+    name = soak.rng.choice([*soak.entries, *soak.agents])
+    soak.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(soak.rng.uniform(0.1, 2.5))
+    soak.signal(name, signal.SIGCONT)
+
+
+@action
+async def restart_worker(soak: Soak) -> None:
+    """Crash a worker; it, or another one in its place, boots soon."""
+    worker = soak.rng.choice(soak.workers)
+    if not worker.up:
+        return
+    await worker.crash()
+    await asyncio.sleep(soak.rng.choice((0.05, 0.3, 1.0)))
+    if soak.rng.random() < 0.5:
+        worker.core.name += "x"
+    worker.core.boot(worker.loop.time())
+    await worker.boot()
+    await soak.put_report(worker, worker.core.name, worker.report())
+
+
+@action
+async def send_odd_report(soak: Soak) -> None:
+    """Send one heartbeat of another writer, under the own or another id."""
+    worker = soak.rng.choice(soak.workers)
+    odd = soak.rng.choice(ODD_FIELDS)
+    name = soak.rng.choice((worker.core.name, "i-9"))
+    sequence = worker.core.sequence + 1
+    body = {**worker.report(), "sequence": sequence, **odd}
+    worker.core.sequence -= 1
+    if name == "i-9":
+        body = {"born": 10**6, "address": "127.0.0.1:9", **body}
+    await soak.put_report(worker, name, body)
+
+
+@action
+async def write_odd_record(soak: Soak) -> None:
+    """Write an odd record, of a stranger or over that of an agent."""
+    key = soak.rng.choice([*soak.agents, "stranger"])
+    soak.put(f"agents/{key}", soak.rng.choice(ODD_RECORDS))
+
+
+@action
+async def fail_store(soak: Soak) -> None:
+    soak.store.fault = soak.rng.choice(("busy", "silent"))
+    await asyncio.sleep(soak.rng.uniform(0.2, 2.0))
+    soak.store.fault = ""
+
+
+@action
+async def change_configuration(soak: Soak) -> None:
+    cfg = {**CONFIG, "version": soak.store.revision + 10}
+    soak.put("op/config", json.dumps(cfg).encode())
+
+
+def main() -> None:
+    """Play seeds one after the other; exit with status 1 if any broke."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, nargs=2, default=(0, 50))
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--agents", type=int, default=3)
+    args = parser.parse_args()
+    failed = 0
+    for seed in range(*args.seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        soak = Soak(seed, folder, args.entries, args.agents)
+        broken = asyncio.run(soak.run(args.seconds))
+        failed += bool(broken)
+        print(seed, soak.statuses, *broken[:5], folder, flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
