Ignore the departure of a worker that answers and does not drain

What callers would see: a task twice at once. A DELETE for a worker's id made all its runs count as ended, so that they started elsewhere, while they went on until the next listing had them stopped.

Cause: the same as that of stray heartbeats: the call was believed by its id alone. It names no birth, so a late one of the previous incarnation fits too.

Change: a worker drains before it leaves, so its departure is believed only then, or if it does not answer any more. Otherwise its runs end as those of a worker that falls silent.

Test: test_a_departure_of_a_worker_that_does_not_drain_ends_no_run, red before. Two tests let the worker drain, or refuse calls, before it leaves; what they check is the same.

--- a/packages/briarford-daemon/tests/test_agent_process.py
+++ b/packages/briarford-daemon/tests/test_agent_process.py
@@ -110,6 +110,7 @@
 
 
 def leaving(agent: FleetAgent) -> None:
+    agent.core.worker_refused(agent.now)
     agent.worker_left("w")
 
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -236,10 +236,16 @@
     def worker_left(self, worker: str, now: float) -> None:
         """Process the announcement that the worker leaves.
 
-        Its runs have ended by then and are reported as lost.
+        Its runs have ended by then and are reported as lost. A worker drains
+        before; the announcement for one that does not, and answers, is that
+        of its previous incarnation, or of another writer.
         """
         if self.worker is None or self.worker.worker != worker:
             return
+        is_in_use = self._claims.confirmed and self.may_extend_lease(now)
+        if is_in_use and not self.worker.draining:
+            self._log("departure-ignored", worker=worker)
+            return
         self._log("worker-left", worker=worker)
         self._orders.finish_all(LossCause.WORKER_LEFT)
         self.worker = None
