Pass a cancel on to the entry that has the job

Cause: an entry looked for the job among its own only.

Change: it asks its agents, which pass the cancel on to their other entries and the confirmation back. 200 once one has confirmed, else 410 after 0.5 s.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -15,6 +15,7 @@
 
 from briarford.outcomes import Outcome
 from briarford.requests import (
+    CancelConfirmed,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -44,6 +45,9 @@
 
 EVENTS = logging.getLogger("briarford.decision")
 
+# Four messages between processes take some milliseconds, and each of them up
+# to a tenth of a second while its receiver is busy.
+CANCEL_TIMEOUT_S = 0.5
 DRAIN_POLL_PERIOD_S = 0.05
 # Part of ``stop_within_s`` that is kept for closing the connections.
 STOP_RESERVE_S = 0.6
@@ -109,6 +113,7 @@
         self._configuration = self._watch_configuration(store, evacuations)
         self._tasks = BackgroundTasks()
         self._waiters: dict[str, list[asyncio.Future[Outcome]]] = {}
+        self._cancels: dict[str, asyncio.Future[None]] = {}
         self._driver: TurnDriver[EntryEffect] | None = None
 
     def _watch_configuration(
@@ -250,6 +255,30 @@
         self._wake()
         return cancelled
 
+    async def cancel_elsewhere(self, job: str) -> bool:
+        """Have the entry that has a job cancel it.
+
+        The answer comes within ``CANCEL_TIMEOUT_S``.
+
+        :param job: id of a job that is not open here.
+        :return: False if no entry has confirmed it in time.
+        """
+        if not self.core.forward_cancel(job, self.clock.now()):
+            self._wake()
+            return False
+        self._wake()
+        loop = asyncio.get_running_loop()
+        fut = self._cancels.setdefault(job, loop.create_future())
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                await asyncio.shield(fut)
+        except TimeoutError:
+            EVENTS.info("cancel-unanswered", extra={"job": job})
+            if self._cancels.get(job) is fut:
+                del self._cancels[job]
+            return False
+        return True
+
     def _wake(self) -> None:
         if self._driver is not None:
             self._driver.wake()
@@ -293,6 +322,10 @@
                 for fut in self._waiters.pop(effect.job, ()):
                     if not fut.done():
                         fut.set_result(effect.outcome)
+            case CancelConfirmed():
+                waiting = self._cancels.pop(effect.job, None)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(None)
             case EntryEvent():
                 EVENTS.info(effect.action, extra=effect.fields)
 
--- a/packages/briarford/src/briarford/capabilities.py
+++ b/packages/briarford/src/briarford/capabilities.py
@@ -25,6 +25,8 @@
     # Skips kinds of message that it does not know, and takes unknown ends of
     # runs for lost ones: new kinds and values may be sent to it.
     SKIPS_UNKNOWN = "skips-unknown"
+    # Passes on, or carries out, cancels of jobs that other entries have.
+    RELAYS_CANCELS = "relays-cancels"
 
 
 CAPABILITIES = tuple(c.value for c in Capability)
--- a/packages/briarford/src/briarford/requests/__init__.py
+++ b/packages/briarford/src/briarford/requests/__init__.py
@@ -10,6 +10,7 @@
 
 from briarford.requests.dispatcher import Dispatcher
 from briarford.requests.effects import (
+    CancelConfirmed,
     DialAgent,
     DropLink,
     EntryEvent,
@@ -19,6 +20,7 @@
 from briarford.requests.job import JobRequest, StepSpec
 
 __all__ = [
+    "CancelConfirmed",
     "DialAgent",
     "Dispatcher",
     "DropLink",
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -7,7 +7,7 @@
 from collections.abc import Set as AbstractSet
 from typing import Any
 
-from briarford.capabilities import count_builds
+from briarford.capabilities import Capability, count_builds
 from briarford.evacuations import Evacuations
 from briarford.outcomes import (
     Completed,
@@ -24,6 +24,7 @@
     LEASE_EXPIRY_S,
     Attachments,
 )
+from briarford.requests.cancels import CancelBudget
 from briarford.requests.crashes import CrashCounts
 from briarford.requests.demand import (
     MAX_SUSPECTS_TRIED,
@@ -31,6 +32,7 @@
     DemandReporter,
 )
 from briarford.requests.effects import (
+    CancelConfirmed,
     EntryEffect,
     EntryEvent,
     JobEnded,
@@ -60,8 +62,10 @@
     AgentHeartbeat,
     AgentMessage,
     Attached,
+    CancelJob,
     CapacityOffer,
     EntryHeartbeat,
+    JobCancelled,
     RunEnd,
     RunEnded,
     StartRun,
@@ -71,6 +75,7 @@
     WorkerStatus,
 )
 from briarford.runs.agent import HEARTBEAT_PERIOD_S
+from briarford.runs.cancels import MAX_JOB_ID_LENGTH
 
 __all__ = ["Dispatcher"]
 
@@ -122,6 +127,7 @@
         self._demand = DemandReporter(
             self._agents, self._waiting, self._unended_runs
         )
+        self._cancel_budget = CancelBudget()
         self._last_dispatch = 0
         self._next_heartbeat_at = 0.0
         self._last_turn_at = 0.0
@@ -206,6 +212,29 @@
         self._end_job(job, failed, now, keep_outcome=False)
         return True
 
+    def forward_cancel(self, job_id: str, now: float) -> bool:
+        """Ask the other entries, by way of the agents, to cancel a job.
+
+        A :class:`CancelConfirmed` effect follows if one of them has it.
+
+        :return: False if it was not asked: this entry has answered the job,
+            too many cancels are passed on, or no agent could.
+        """
+        if job_id in self._answered or len(job_id) > MAX_JOB_ID_LENGTH:
+            return False
+        views = [
+            v
+            for v in self._agents.linked()
+            if v.attached and Capability.RELAYS_CANCELS in v.capabilities
+        ]
+        if not views or not self._cancel_budget.take(now):
+            self._log("cancel-not-forwarded", job=job_id, agents=len(views))
+            return False
+        self._log("cancel-forwarded", job=job_id, agents=len(views))
+        for view in views:
+            self._agents.send(view, CancelJob(job_id))
+        return True
+
     def waiting_jobs(self, route: str) -> int:
         """Return how many jobs of a route wait for the start of any task."""
         return sum(
@@ -319,6 +348,12 @@
                 dispatch = view.pop_unowned(msg.task, msg.run)
                 if dispatch is not None:
                     self._finish_run(view, dispatch, RunEnd.FAILED, now)
+            case CancelJob():
+                if self.cancel(msg.job, now):
+                    self._log("cancel-received", job=msg.job, agent=view.name)
+                    self._agents.send(view, JobCancelled(msg.job))
+            case JobCancelled():
+                self._emit(CancelConfirmed(msg.job))
 
     def _handle_attached(
         self, view: AgentView, msg: Attached, now: float
--- a/packages/briarford/src/briarford/requests/effects.py
+++ b/packages/briarford/src/briarford/requests/effects.py
@@ -10,6 +10,7 @@
 from briarford.runs import EntryMessage
 
 __all__ = [
+    "CancelConfirmed",
     "DialAgent",
     "DropLink",
     "EntryEffect",
@@ -63,6 +64,15 @@
     outcome: Outcome
 
 
+class CancelConfirmed(msgspec.Struct, frozen=True):
+    """Answer the clients that wait for a cancel at another entry.
+
+    :param job: id of the job, which has ended.
+    """
+
+    job: str
+
+
 class EntryEvent(msgspec.Struct, frozen=True):
     """Log a decision.
 
@@ -74,4 +84,11 @@
     fields: dict[str, Any]
 
 
-EntryEffect = SendToAgent | DialAgent | DropLink | JobEnded | EntryEvent
+EntryEffect = (
+    SendToAgent
+    | DialAgent
+    | DropLink
+    | JobEnded
+    | CancelConfirmed
+    | EntryEvent
+)
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -15,12 +15,14 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Container
 from typing import Any
 
 from msgspec.structs import replace
 
-from briarford.capabilities import count_builds
+from briarford.capabilities import Capability, count_builds
 from briarford.evacuations import Evacuations
+from briarford.runs.cancels import CancelRelay
 from briarford.runs.claims import Verdict, WorkerClaims, same_incarnation
 from briarford.runs.contact import WorkerContact
 from briarford.runs.demands import by_rank
@@ -42,10 +44,12 @@
     AgentHeartbeat,
     AgentMessage,
     Attach,
+    CancelJob,
     CapacityOffer,
     Demand,
     EntryHeartbeat,
     EntryMessage,
+    JobCancelled,
     LossCause,
     RunEnd,
     StartRun,
@@ -138,6 +142,7 @@
         self._notices = LeaveNotices(self._orders.stop, self._log)
         self._stragglers = Stragglers(self._orders.stop, self._log)
         self._losses = WorkerLosses()
+        self._cancels = CancelRelay()
 
     # -- the worker ---------------------------------------------------------
 
@@ -589,6 +594,17 @@
         self._orders.capacity.close_offer(msg.entry)
         for failure in self._unreported_failures:
             self._effects.append(SendToEntry(link, failure))
+        for job in self._cancels.pending_for(msg.entry, now):
+            self._pass_on(CancelJob(job), {msg.entry})
+
+    def _pass_on(
+        self, message: CancelJob | JobCancelled, entries: Container[str]
+    ) -> None:
+        """Send a message to those of some entries that understand it."""
+        for session in self._sessions.connected():
+            relays = Capability.RELAYS_CANCELS in session.capabilities
+            if relays and session.entry in entries:
+                self._send(session, message)
 
     def link_closed(self, link: int) -> None:
         """Process the end of a connection.
@@ -626,6 +642,12 @@
                 session.demand = msg if msg.cpu else None
                 session.start_by = now + msg.slack_s
                 self._orders.capacity.close_offer(session.entry)
+            case CancelJob():
+                if self._cancels.requested(msg.job, session.entry, now):
+                    others = {s.entry for s in self._sessions.connected()}
+                    self._pass_on(msg, others - {session.entry})
+            case JobCancelled():
+                self._pass_on(msg, self._cancels.confirmed(msg.job))
             case Attach():
                 pass
 
--- a/packages/briarford/src/briarford/runs/messages.py
+++ b/packages/briarford/src/briarford/runs/messages.py
@@ -18,11 +18,13 @@
     "AgentMessage",
     "Attach",
     "Attached",
+    "CancelJob",
     "CapacityOffer",
     "Demand",
     "EntryBatch",
     "EntryHeartbeat",
     "EntryMessage",
+    "JobCancelled",
     "LossCause",
     "RunEnd",
     "RunEnded",
@@ -308,7 +310,36 @@
     cpu: int
 
 
-EntryMessage = Attach | StartRun | StopRun | Demand | EntryHeartbeat
+class CancelJob(Message, frozen=True, tag="cancel"):
+    """Asks the entry that has a job to cancel it.
+
+    Sent by an entry that does not have the job to its agents, and by them to
+    their other entries; only to peers that announce ``RELAYS_CANCELS``.
+
+    :param job: id of the job.
+    """
+
+    job: str
+
+
+class JobCancelled(Message, frozen=True, tag="cancelled"):
+    """Confirms :class:`CancelJob`; goes the same way back.
+
+    :param job: id of the job, which has ended.
+    """
+
+    job: str
+
+
+EntryMessage = (
+    Attach
+    | StartRun
+    | StopRun
+    | Demand
+    | EntryHeartbeat
+    | CancelJob
+    | JobCancelled
+)
 AgentMessage = (
     Attached
     | WorkerStatus
@@ -316,6 +347,8 @@
     | RunEnded
     | UnreportedFailure
     | CapacityOffer
+    | CancelJob
+    | JobCancelled
 )
 
 
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_cancels.py
@@ -0,0 +1,106 @@
+"""Cancels that reach an entry which does not have the job."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.requests.cancels import BURST
+from briarford.runs import CancelJob
+from briarford.runs.cancels import KEEP_CANCEL_S, MAX_KEPT, CancelRelay
+from fleet.worker import StandInWorker
+from fleet.world import World, request
+
+NOW = 1000.0
+ANSWERED_WITHIN_S = 0.1
+CANCEL_S = 3.0  # no task starts later than this after its cancel
+
+
+def make_world(entries=3):
+    world = World([StandInWorker(f"w{n}") for n in range(2)], entries)
+    world.run(1.0)
+    world.submit(world.entries["e0"], request("j", count=2, work_s=1.8))
+    world.run(0.3)
+    return world
+
+
+def running(world):
+    return [t for w in world.workers.values() for t in w.runs]
+
+
+def test_a_cancel_reaches_the_entry_that_has_the_job():
+    """Guards against tasks that start after their cancel was acknowledged."""
+    world = make_world()
+    assert running(world)
+    at = world.now
+    assert world.cancel_at("e1", "j")
+    world.run(0.5)
+    assert not running(world)
+    assert not world.entries["e0"].core.open_jobs
+    answered = {(e, j) for e, j, _ in world.confirmed_cancels}
+    assert answered == {("e1", "j")}
+    first = min(t for _, _, t in world.confirmed_cancels)
+    assert first - at < ANSWERED_WITHIN_S
+
+
+def freeze(world):
+    world.freeze(world.entries["e0"], 2.0)
+
+
+def cut(world):
+    for agent in world.agents:
+        world.cut("e0", agent)
+    world.after(2.0, world.heal)
+
+
+@pytest.mark.parametrize("fault", [freeze, cut])
+def test_an_entry_that_was_away_cancels_the_job_when_it_is_back(fault):
+    """Guards against a job that goes on after a freeze or a cut."""
+    world = make_world()
+    fault(world)
+    world.run(0.2)
+    at = world.now
+    world.cancel_at("e1", "j")
+    world.run(4.0)
+    assert not world.entries["e0"].core.open_jobs
+    world.run(1.0)
+    assert not running(world)
+    assert all(r.start < at + CANCEL_S for r in world.history())
+
+
+def test_a_job_that_no_entry_has_is_confirmed_by_none():
+    world = make_world()
+    assert world.cancel_at("e1", "other")
+    world.run(1.0)
+    assert not world.confirmed_cancels
+    assert world.entries["e0"].core.open_jobs == 1
+
+
+def test_a_job_that_was_answered_here_is_asked_for_nowhere():
+    world = make_world()
+    world.run(5.0)
+    node = world.entries["e0"]
+    assert not node.core.forward_cancel("j", world.now)
+
+
+def test_a_storm_of_cancels_is_bounded():
+    """Guards against messages that grow with what clients make up."""
+    world = make_world()
+    before = world.sent[CancelJob]
+    asked = sum(world.cancel_at("e1", f"x{n}") for n in range(1000))
+    assert asked <= BURST + 1
+    world.run(1.0)
+    agents, others = 2, 2
+    most = asked * agents * (1 + others)
+    assert world.sent[CancelJob] - before <= most
+
+
+def test_a_relay_keeps_the_latest_cancels_only():
+    relay = CancelRelay()
+    for n in range(MAX_KEPT + 5):
+        assert relay.requested(f"j{n}", "e1", NOW)
+    assert len(relay.pending_for("e2", NOW)) == MAX_KEPT
+    assert relay.pending_for("e1", NOW) == []
+    assert relay.confirmed(f"j{MAX_KEPT}") == {"e1"}
+    assert relay.confirmed(f"j{MAX_KEPT}") == set()
+    assert relay.pending_for("e2", NOW + KEEP_CANCEL_S) == []
+    assert not relay.requested("x" * 9999, "e1", NOW)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -17,6 +17,7 @@
 
 from briarford.outcomes import Outcome
 from briarford.requests import (
+    CancelConfirmed,
     DialAgent,
     Dispatcher,
     DropLink,
@@ -190,6 +191,7 @@
         self.refused_dials: set[str] = set()
         self.addresses: dict[str, AgentAddress] = {}
         self.strays: dict[str, StandInWorker] = {}
+        self.confirmed_cancels: list[tuple[str, str, float]] = []
         self.leases_count_from_arrival = False
         self.deadly: dict[str, float] = {}
         self.refused_connections = False
@@ -495,6 +497,8 @@
                 self._withdraw(node, effect, node.generation)
             case RaiseToken():
                 self._raise_token(node, node.generation)
+            case CancelConfirmed(job):
+                self.confirmed_cancels.append((node.name, job, self.now))
             case JobEnded(job, outcome):
                 if (node.name, job) not in self.disconnected:
                     self.outcomes[job] = (self.now, outcome)
@@ -835,6 +839,17 @@
 
     # -- clients ------------------------------------------------------------
 
+    def cancel_at(self, entry: str, job: str) -> bool:
+        """Have a client cancel a job at an entry that may not have it.
+
+        :return: whether other entries are asked.
+        """
+        node = self.entries[entry]
+        assert not node.core.cancel(job, self.now)
+        asked: bool = node.core.forward_cancel(job, self.now)
+        self._turn(node)
+        return asked
+
     def submit(
         self,
         entry: Node,
