--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -24,6 +24,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -35,7 +36,7 @@
 
 from fleet.worker import Interval
 from stand_in import StoreStandIn
-from test_processes import CONFIG, WorkerServer, free_port
+from test_processes import CONFIG, WorkerServer
 
 REPEAT_DELAY_S = 1.3
 REPORT_PERIOD_S = 1.5
@@ -73,6 +74,19 @@
 ]
 
 
+USED_PORTS: set[int] = set()  # handed out before, whether in use yet or not
+
+
+def free_port(host: str) -> int:
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port: int = sock.getsockname()[1]
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            return port
+
+
 def action(act: Action) -> Action:
     """Register something that happens during a soak."""
     ACTIONS.append(act)
@@ -82,11 +96,12 @@
 class SoakWorker(WorkerServer):
     """A worker that may crash, start again and be replaced."""
 
-    def __init__(self, number: int, control: str) -> None:
+    def __init__(self, number: int, host: str, control: str) -> None:
         super().__init__()
         self.core.name = f"i-{number}"
         self.control = control
-        self.port = free_port()
+        self.host = host
+        self.port = free_port(host)
         self._runner: web.AppRunner | None = None
 
     @property
@@ -104,7 +119,7 @@
         app.middlewares.append(check_instance)
         self._runner = web.AppRunner(app, shutdown_timeout=0.01)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", self.port).start()
+        await web.TCPSite(self._runner, self.host, self.port).start()
 
     async def crash(self) -> None:
         self.core.crash(self.loop.time())
@@ -116,7 +131,7 @@
         self.core.sequence += 1
         return {
             "service": "desk",
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"{self.host}:{self.port}",
             "zone": "z",
             "state": "ready",
             "capacity": {"cpu": 8000, "mem_mb": 1000, "gpu": 0},
@@ -139,6 +154,9 @@
         self, seed: int, folder: Path, entries: int, agents: int
     ) -> None:
         self.rng = random.Random(seed)
+        # No outgoing connection takes a port of an address of its own.
+        pid = os.getpid()
+        self.host = f"127.{16 + pid // 250 % 200}.{pid % 250}.{1 + seed % 250}"
         self.folder = folder
         self.store = StoreStandIn()
         self.entries = [f"entry-{n}" for n in range(entries)]
@@ -159,7 +177,7 @@
         self.put("op/config", json.dumps(CONFIG).encode())
         self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.01)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        await web.TCPSite(self._runner, self.host, 0).start()
         host, port = self._runner.addresses[0][:2]
         self.http = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
@@ -168,16 +186,17 @@
             self.settings[name] = {
                 "name": name,
                 "zone": "z",
-                "ip": "127.0.0.1",
-                "rpc_port": free_port(),
+                "ip": host,
+                "rpc_port": free_port(host),
                 "store": f"{host}:{port}",
-                "http": f"127.0.0.1:{free_port()}",
-                "health": f"127.0.0.1:{free_port()}",
-                "metrics_port": free_port(),
+                "http": f"{host}:{free_port(host)}",
+                "health": f"{host}:{free_port(host)}",
+                "metrics_port": free_port(host),
             }
             self._tasks.append(asyncio.create_task(self._supervise(name)))
         for number, name in enumerate(self.agents):
-            worker = SoakWorker(number, self.settings[name]["http"])
+            control = self.settings[name]["http"]
+            worker = SoakWorker(number, self.host, control)
             await worker.boot()
             self.workers.append(worker)
             self._tasks.append(asyncio.create_task(self._report(worker)))
