--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	PYTHONPATH=packages/briarford/tests $(BIN)/python -m dispatch.soak --seconds $(SECONDS) --seed $(SEED)
 
 # Real processes under overlapping faults; other sizes:
-# make soak-processes SEEDS="0 50" FLEET="--entries 8 --agents 40"
+# make soak-processes SEEDS="0 50" FLEET="--entries 6 --agents 24"
 SEEDS ?= 0 50
 FLEET ?=
 soak-processes: .venv/.installed
