--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -43,7 +43,12 @@
 from briarford_daemon.fleet.settings import load_fleet_settings
 from briarford_daemon.http_client import HttpAnswer, _encode_request
 from briarford_platform.configuration import OperatorConfiguration
-from briarford_platform.jobs import MAX_STEPS, MAX_TASKS, decode_job
+from briarford_platform.jobs import (
+    MAX_SPEC_BYTES,
+    MAX_STEPS,
+    MAX_TASKS,
+    decode_job,
+)
 from briarford_platform.store import _Events, _Item, _key_value, _Range
 from briarford_platform.workers import WorkerClient, decode_report
 
@@ -457,3 +462,29 @@
     path.write_bytes(b"x = " + DEEP)
     with pytest.raises(SettingsError):
         load_fleet_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("spec", "accepted"),
+    [
+        ("x" * 4000, True),
+        ("{" * 4000, True),
+        ("\u00e9" * 2000, True),
+        ("x" * (MAX_SPEC_BYTES + 1), False),
+        ("\u00e9" * 2100, False),
+    ],
+    ids=["largest", "braces", "largest in UTF-8", "long", "long in UTF-8"],
+)
+def test_the_text_of_a_job_has_a_limit(spec, accepted):
+    """It goes along with each task, so its size counts many times."""
+    body = json.dumps({**JOB, "spec": spec}).encode()
+    refused = pytest.raises(msgspec.DecodeError, match="text has over")
+    with contextlib.nullcontext() if accepted else refused:
+        decode_job("5c0e", body)
+
+
+def test_bodies_of_many_objects_are_not_decoded():
+    """Decoded they would take fifty times their bytes."""
+    body = b'{"steps":[' + b"{}," * 9000 + b"{}]}"
+    with pytest.raises(msgspec.DecodeError, match="too many objects"):
+        decode_job("5c0e", body)
