Bound what open jobs hold, and give up the one that waits longest

What was seen: 60 jobs of 5,000 tasks that no worker can take took an entry of 64 MB to 161 MB; 450 connections with one such job each, or all with the same one, left no connection to an ordinary request.

Cause: admission looks at the wait, not at what a job holds, and a job that no worker can take waits for as long as its client says.

Change: open jobs share a part of the machine's memory, and requests that wait three quarters of the connections. Over either the job that waits longest is refused with 503 if nothing of it was ever ordered, so the refusal is true; if each has had a run the new one is refused. A ninth request for one job gets 502 and is not told that the job has not run. Outcomes of jobs without tasks are not kept for repeats, as nothing of them can run twice.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -94,7 +94,14 @@
         self._source = source
         self.clock = BootClock()
         zone = cfg.zone if cfg.prefer_own_zone else ""
-        self.core = Dispatcher(cfg.name, os.urandom(4).hex(), zone)
+        self.core = Dispatcher(
+            cfg.name,
+            os.urandom(4).hex(),
+            zone,
+            cfg.machine.job_bytes(cfg.intake),
+        )
+        self._max_waiting = cfg.machine.waiting_requests(cfg.intake)
+        self._waiting = 0  # requests that wait for an outcome
         self.routes = ConfigurationHolder()
         self._metrics = metrics
         metrics.set_sources(
@@ -221,17 +228,26 @@
         :param route: the route that the request matched.
         """
         submitted_at = self.clock.now()
-        outcome = self.core.submit(request, route, submitted_at)
+        outcome = None
+        if self._waiting >= self._max_waiting:
+            outcome = self.core.make_room(request.job, submitted_at)
+        if outcome is None:
+            outcome = self.core.submit(request, route, submitted_at)
         self._wake()
         if outcome is not None:
             return outcome
+        waiters = self._waiters.setdefault(request.job, [])
+        if len(waiters) >= self._cfg.intake.max_repeats:
+            return self.core.refuse_repeat(request.job, submitted_at)
         fut: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiters.setdefault(request.job, []).append(fut)
+        waiters.append(fut)
+        self._waiting += 1
         try:
             return await fut
         finally:
+            self._waiting -= 1
             self._metrics.observe_job(
                 route.name, self.clock.now() - submitted_at
             )
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -14,6 +14,7 @@
     Failed,
     FailureReason,
     Outcome,
+    RefusalReason,
     Refused,
     Step,
 )
@@ -48,6 +49,7 @@
     make_job,
     task_names,
 )
+from briarford.requests.job_memory import JobMemory, oldest_unstarted
 from briarford.requests.placing import (
     choose_agent,
     may_run_at,
@@ -90,6 +92,7 @@
 # for CATCH_UP_S before any run is ordered.
 PAUSE_THRESHOLD_S = 0.6
 CATCH_UP_S = 0.15
+FULL_RETRY_S = 1.0  # jobs end or are given up within a second
 KEEP_OUTCOME_S = 10.0  # clients repeat an answered request within seconds
 
 
@@ -103,9 +106,16 @@
     :param name: of the entry.
     :param incarnation: of this process.
     :param zone: of the entry; its workers are preferred among equal ones.
+    :param max_job_bytes: what all open jobs may hold; 0 for any number.
     """
 
-    def __init__(self, name: str, incarnation: str, zone: str = "") -> None:
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        zone: str = "",
+        max_job_bytes: int = 0,
+    ) -> None:
         self.name = name
         self.zone = zone
         self.incarnation = incarnation
@@ -117,6 +127,7 @@
             name, incarnation, self._emit, self.evacuations.zones
         )
         self._jobs: dict[str, Job] = {}
+        self._memory = JobMemory(max_job_bytes)
         self._answered: dict[str, tuple[float, Outcome]] = {}
         self._waiting = WaitingTasks()
         self._admission = Admission(name, self._waiting)
@@ -160,6 +171,9 @@
         if exhausted:
             self._log("repeat-exhausted", job=request.job, task=exhausted)
             return self._given_up(exhausted)
+        while not self._memory.has_room(request):
+            if not self.give_up_oldest(now):
+                return self._refuse_full(request.job, now)
         usable = self._usable(route.service, now)
         estimates_s = tuple(s.expected_s for s in request.steps)
         request = self._estimates.correct(request, route.name)
@@ -174,6 +188,7 @@
         for task in job.tasks if self._crashes else ():
             task.suspect = self._crashes.is_suspect(task.name)
         self._jobs[request.job] = job
+        self._memory.add(job)
         self.counts["accepted"] += 1
         self._log(
             "accepted",
@@ -192,6 +207,58 @@
             self._end_job(job, Completed(()), now)
         return None
 
+    def make_room(self, job_id: str, now: float) -> Outcome | None:
+        """Let one more request wait, of which there are too many.
+
+        The job that waits longest is given up if it has had no run.
+
+        :param job_id: job of the request.
+        :return: the answer to the request if it cannot wait.
+        """
+        if job_id in self._jobs:
+            return self.refuse_repeat(job_id, now)
+        if job_id in self._answered or self.give_up_oldest(now):
+            return None
+        return self._refuse_full(job_id, now)
+
+    def give_up_oldest(self, now: float) -> bool:
+        """Refuse the job that waits longest and has had no run.
+
+        :return: False if each open job has had one.
+        """
+        job = oldest_unstarted(self._jobs.values())
+        if job is None:
+            return False
+        self.counts["given-up-for-room"] += 1
+        refused = self._admission.refuse(
+            RefusalReason.QUEUE_FULL,
+            "given up for later jobs, as it has waited longest",
+            now + FULL_RETRY_S,
+        )
+        self._end_job(job, refused, now, keep_outcome=False)
+        return True
+
+    def refuse_repeat(self, job_id: str, now: float) -> Failed:
+        """Return the answer to a repeat of a job for which too many wait."""
+        self.counts["repeat-refused"] += 1
+        return Failed(
+            FailureReason.HOME_UNREACHABLE,
+            "too many requests wait for this job",
+            Step.SUBMIT,
+            self.name,
+            retry_at=now + FULL_RETRY_S,
+        )
+
+    def _refuse_full(self, job_id: str, now: float) -> Refused:
+        """Refuse a job for which there is no room in memory."""
+        self.counts[f"refused-{RefusalReason.QUEUE_FULL.value}"] += 1
+        self._log("refused", job=job_id, reason=RefusalReason.QUEUE_FULL.value)
+        return self._admission.refuse(
+            RefusalReason.QUEUE_FULL,
+            "too many jobs are open",
+            now + FULL_RETRY_S,
+        )
+
     def cancel(self, job_id: str, now: float) -> bool:
         """Cancel a job and stop its runs.
 
@@ -570,13 +637,14 @@
         job.ended = True
         job_id = job.request.job
         del self._jobs[job_id]
+        self._memory.remove(job)
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
                 if task in self._waiting:
                     self._waiting.remove(task)
             elif task.phase is TaskPhase.PLACED:
                 self._stop_run(task)
-        if keep_outcome:
+        if keep_outcome and job.tasks:
             self._answered[job_id] = (now + KEEP_OUTCOME_S, outcome)
         self.by_priority.ended(job, outcome, now)
         kind = type(outcome).__name__.lower()
@@ -809,6 +877,7 @@
         views = list(self._agents)
         return {
             "jobs_open": len(self._jobs),
+            "jobs_bytes": self._memory.held,
             "tasks_waiting": len(self._waiting),
             "tasks_placed": sum(len(v.dispatches) for v in views),
             "agents_known": len(self._agents),
--- /dev/null
+++ b/packages/briarford/tests/fleet/test_job_memory.py
@@ -0,0 +1,84 @@
+"""Which jobs are refused when the open ones hold too much."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarford.outcomes import Failed, Refused
+from briarford.requests import Dispatcher, JobEnded
+from briarford.requests.job_memory import job_bytes
+from fleet.world import ROUTE, request
+
+NOW = 1000.0
+
+
+def make_core(jobs: int) -> Dispatcher:
+    """Return the core of a new entry, with memory for so many jobs."""
+    core = Dispatcher("e", "i", max_job_bytes=jobs * job_bytes(request("j0")))
+    core.turn(NOW)
+    return core
+
+
+def refused_jobs(core: Dispatcher) -> list[str]:
+    ended = [e for e in core.turn(NOW) if isinstance(e, JobEnded)]
+    assert all(isinstance(e.outcome, Refused) for e in ended)
+    assert all(e.outcome.retry_at > NOW for e in ended)
+    return [e.job for e in ended]
+
+
+@pytest.mark.parametrize(
+    ("memory", "started", "given_up", "last_is_refused"),
+    [
+        pytest.param(3, [], [], False, id="room for all"),
+        pytest.param(2, [], ["j0"], False, id="the oldest gives way"),
+        pytest.param(2, ["j0"], ["j1"], False, id="one with a run does not"),
+        pytest.param(2, ["j0", "j1"], [], True, id="all have had a run"),
+    ],
+)
+def test_jobs_that_wait_longest_make_room(
+    memory, started, given_up, last_is_refused
+):
+    core = make_core(memory)
+    for name in ("j0", "j1"):
+        assert core.submit(request(name), ROUTE, NOW) is None
+        core._jobs[name].started = name in started
+    last = core.submit(request("j2"), ROUTE, NOW)
+    assert isinstance(last, Refused) is last_is_refused
+    assert refused_jobs(core) == given_up
+    held = core.state(NOW)["jobs_bytes"]
+    assert held == core.open_jobs * job_bytes(request("j0"))
+
+
+def test_a_job_that_is_too_large_for_the_memory_is_refused():
+    core = make_core(2)
+    outcome = core.submit(request("j0", count=400), ROUTE, NOW)
+    assert isinstance(outcome, Refused)
+    assert core.state(NOW)["jobs_bytes"] == 0
+
+
+@pytest.mark.parametrize(
+    ("job", "started", "kind"),
+    [
+        ("j0", True, Failed),
+        ("j0", False, Failed),
+        ("j1", False, None),
+        ("j1", True, Refused),
+    ],
+    ids=["repeat, runs", "repeat, waits", "other, waits", "other, runs"],
+)
+def test_requests_over_the_number_that_may_wait(job, started, kind):
+    """A repeat is never told that its job has not run."""
+    core = make_core(9)
+    core.submit(request("j0"), ROUTE, NOW)
+    core._jobs["j0"].started = started
+    answer = core.make_room(job, NOW)
+    assert (None if answer is None else type(answer)) is kind
+    assert refused_jobs(core) == (["j0"] if kind is None else [])
+
+
+def test_outcomes_of_jobs_without_tasks_are_not_kept():
+    """Clients could fill the memory with them at any rate."""
+    core = make_core(9)
+    assert core.submit(request("j0", count=0), ROUTE, NOW) is None
+    core.turn(NOW)
+    assert not core._answered
--- a/tests/adapter/test_crowds.py
+++ b/tests/adapter/test_crowds.py
@@ -118,23 +118,7 @@
 ]
 
 
-# Known to be red; see KNOWN-RED.txt.
-RED = {
-    ("entry", "http", "jobs-that-wait"),
-    ("entry", "http", "jobs-of-long-names"),
-    ("entry", "http", "jobs-that-wait-on-every-connection"),
-    ("entry", "http", "one-job-on-every-connection"),
-}
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
-
-
-@pytest.mark.parametrize(
-    ("role", "listener", "name"),
-    [
-        pytest.param(*crowd, marks=KNOWN_RED if crowd in RED else ())
-        for crowd in CROWDS
-    ],
-)
+@pytest.mark.parametrize(("role", "listener", "name"), CROWDS)
 async def test_a_crowd_ends_no_process(tmp_path, role, listener, name):
     async with serving(tmp_path) as fleet:
         addresses = fleet.addresses(role)
