Serve requests as large as the operators' configuration allows

The operators' record has limits on heads and bodies, which nothing read. Larger ones now go before those of the settings; smaller ones do not, so that nothing that was served in calm is refused.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -40,6 +40,7 @@
 from briarford_daemon.fleet.registry import AgentDirectory
 from briarford_daemon.fleet.settings import FleetSettings
 from briarford_daemon.fleet.tasks import BackgroundTasks
+from briarford_daemon.http_connection import RequestLimits
 
 __all__ = ["ConfigurationSource", "FleetEntry"]
 
@@ -80,6 +81,8 @@
     :param metrics: metrics of the process.
     :param evacuations: the keys of the operators' requests to evacuate zones;
         used if the settings enable evacuations.
+    :param limits: on requests of clients; raised if the configuration has
+        larger ones.
     """
 
     def __init__(
@@ -89,9 +92,11 @@
         source: ConfigurationSource,
         metrics: FleetMetrics,
         evacuations: EvacuationSource | None = None,
+        limits: RequestLimits | None = None,
     ) -> None:
         self._cfg = cfg
         self._source = source
+        self._limits = limits
         self.clock = BootClock()
         zone = cfg.zone if cfg.prefer_own_zone else ""
         self.core = Dispatcher(
@@ -353,7 +358,20 @@
             cfg, self.clock.now()
         ):
             self._configuration_settled.set()
+            self._apply_request_limits(cfg)
             EVENTS.info(
                 "configuration-in-force",
                 extra={"version": cfg.version, "routes": len(cfg.routes)},
             )
+
+    def _apply_request_limits(self, cfg: Configuration) -> None:
+        """Serve requests as large as the configuration allows."""
+        if self._limits is None:
+            return
+        own = self._cfg.intake
+        self._limits.max_head_bytes = max(
+            own.max_head_bytes, cfg.max_head_bytes
+        )
+        self._limits.max_body_bytes = max(
+            own.max_body_bytes, cfg.max_body_bytes
+        )
--- a/packages/briarford/src/briarford/routes/configuration.py
+++ b/packages/briarford/src/briarford/routes/configuration.py
@@ -39,11 +39,15 @@
     :param version: rises with each new record, by any number.
     :param routes: all routes.
     :param services: names of all services.
+    :param max_head_bytes: largest head of a request; 0 if it is not set.
+    :param max_body_bytes: largest body of a request; 0 if it is not set.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: frozenset[str] = frozenset()
+    max_head_bytes: int = 0
+    max_body_bytes: int = 0
 
 
 class ConfigurationHolder(msgspec.Struct):
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -39,9 +39,12 @@
 from briarford.store import KeyListing, KeyValue
 from briarford_daemon.addresses import split_address
 from briarford_daemon.fleet.clock import BootClock
+from briarford_daemon.fleet.entry import FleetEntry
+from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import AgentDirectory, AgentRecord
-from briarford_daemon.fleet.settings import load_fleet_settings
+from briarford_daemon.fleet.settings import FleetSettings, load_fleet_settings
 from briarford_daemon.http_client import HttpAnswer, _encode_request
+from briarford_daemon.http_connection import RequestLimits
 from briarford_platform.configuration import OperatorConfiguration
 from briarford_platform.jobs import (
     MAX_SPEC_BYTES,
@@ -488,3 +491,32 @@
     body = b'{"steps":[' + b"{}," * 9000 + b"{}]}"
     with pytest.raises(msgspec.DecodeError, match="too many objects"):
         decode_job("5c0e", body)
+
+
+@pytest.mark.parametrize(
+    ("limits", "head", "body"),
+    [
+        (None, 32_768, 1_048_576),
+        (
+            {"max_header_bytes": 16384, "max_body_bytes": 262_144},
+            32_768,
+            2**20,
+        ),
+        ({"max_header_bytes": 65_536}, 65_536, 2**20),
+        ({"max_body_bytes": 2**22, "idle_timeout_ms": 5}, 32_768, 2**22),
+        ({"max_body_bytes": "many"}, 32_768, 2**20),
+        ([], 32_768, 2**20),
+    ],
+)
+def test_operators_raise_the_limits_of_requests(limits, head, body):
+    extra = {} if limits is None else {"limits": limits}
+    value = json.dumps({**CONFIG, **extra}).encode()
+    cfg = FleetSettings(
+        name="e", zone="z", ip="127.0.0.1", rpc_port=0, store="", http=""
+    )
+    found = RequestLimits(cfg.intake.max_head_bytes, cfg.intake.max_body_bytes)
+    source = OperatorConfiguration()
+    metrics = FleetMetrics("e", {})
+    entry = FleetEntry(cfg, None, source, metrics, limits=found)
+    entry._on_configuration_read(KeyValue("op/config", value, 1))
+    assert (found.max_head_bytes, found.max_body_bytes) == (head, body)
