Soak processes under crowds that do not behave, beside all other faults

The soak gives each process the memory and descriptors of a small machine, has crowds of up to 150 clients of any kind at any listener, and checks memory and descriptors of each process until it is gone, beside what it checked before. The meter samples at 20 Hz, as many processes are watched.

--- a/tests/adapter/crowds.py
+++ b/tests/adapter/crowds.py
@@ -26,7 +26,7 @@
 BLOCK = b"y" * 65_536
 MIB = 1024 * 1024
 DRIP_PERIOD_S = 0.1
-SAMPLE_PERIOD_S = 0.02
+SAMPLE_PERIOD_S = 0.05
 # A client that cannot send on for so long waits for the process to read.
 SEND_S = 8.0
 
@@ -275,19 +275,28 @@
 
 
 class Crowd:
-    """The clients of one kind; its context ends with all connections."""
+    """The clients of one kind; its context ends with all connections.
 
-    def __init__(self, address: str, kind: Kind) -> None:
+    :param address: of the listener.
+    :param kind: what they send, and how many there are.
+    :param at_most: how many there are at most.
+    """
+
+    def __init__(
+        self, address: str, kind: Kind, at_most: int = 10_000
+    ) -> None:
         host, port = address.split(":")
         self._address = (host, int(port))
         self._kind = kind
-        self._sent = [asyncio.Event() for _ in range(kind.clients)]
+        self._sent = [
+            asyncio.Event() for _ in range(min(kind.clients, at_most))
+        ]
         self._tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Crowd:
         self._tasks = [
             asyncio.create_task(self._run(number))
-            for number in range(self._kind.clients)
+            for number in range(len(self._sent))
         ]
         return self
 
@@ -348,6 +357,7 @@
         self._ports = {int(a.rpartition(":")[2]) for a in addresses}
         self._task: asyncio.Task[None] | None = None
         self._peak_unread = 0
+        self._peak_memory = 0
         self.peak_descriptors = 0
 
     async def __aenter__(self) -> Meter:
@@ -366,10 +376,15 @@
     @property
     def peak_mb(self) -> float:
         """Peak memory in MiB; the sum of two peaks, which is no less."""
-        for line in (self._folder / "status").read_text().splitlines():
-            if line.startswith("VmHWM:"):
-                return (int(line.split()[1]) * 1024 + self._peak_unread) / MIB
-        raise ValueError(f"no memory of {self._folder}")
+        self._read_memory()
+        return (self._peak_memory + self._peak_unread) / MIB
+
+    def _read_memory(self) -> None:
+        """Read the peak that the kernel keeps, while the process is there."""
+        with contextlib.suppress(OSError):
+            for line in (self._folder / "status").read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    self._peak_memory = int(line.split()[1]) * 1024
 
     def descriptors(self) -> int:
         """Return the number of open descriptors now."""
@@ -377,9 +392,11 @@
 
     async def _sample(self) -> None:
         while True:
-            self.peak_descriptors = max(
-                self.peak_descriptors, self.descriptors()
-            )
+            self._read_memory()
+            with contextlib.suppress(OSError):
+                self.peak_descriptors = max(
+                    self.peak_descriptors, self.descriptors()
+                )
             self._peak_unread = max(self._peak_unread, self._unread())
             await asyncio.sleep(SAMPLE_PERIOD_S)
 
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -23,6 +23,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import sys
@@ -34,6 +35,7 @@
 import aiohttp
 from aiohttp import web
 
+from crowds import KINDS, Crowd, Meter, raise_descriptor_limit
 from fleet.worker import Interval
 from stand_in import StoreStandIn
 from test_processes import CONFIG, WorkerServer
@@ -44,6 +46,10 @@
 CALM_S = 6.0
 LAST_JOBS = 6
 LAST_TRIES = 4  # one a second, as the refusals ask for
+# Of the machine of each process; descriptors include 200 for files.
+MEMORY_MB = 64
+MAX_OPEN_FILES = 400
+CROWD = 150
 REFUSALS = frozenset({429, 503})
 
 Action = Callable[["Soak"], Awaitable[None]]
@@ -195,6 +201,8 @@
                 "http": f"{host}:{free_port(host)}",
                 "health": f"{host}:{free_port(host)}",
                 "metrics_port": free_port(host),
+                "memory_mb": MEMORY_MB,
+                "max_open_files": MAX_OPEN_FILES,
             }
             self._tasks.append(asyncio.create_task(self._supervise(name)))
         for number, name in enumerate(self.agents):
@@ -233,11 +241,23 @@
                     stderr=log,
                 )
             self.processes[name] = process
-            status = await process.wait()
+            limit = (MAX_OPEN_FILES, MAX_OPEN_FILES)
+            with contextlib.suppress(ProcessLookupError):
+                resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limit)
+            addresses = [cfg["http"], cfg["health"]]
+            async with Meter(process.pid, addresses) as meter:
+                status = await process.wait()
+            self._check_meter(name, meter)
             if process.pid not in self._ended_by_us:
                 self.broken.append(f"LOST: {name} ended, status {status}")
             await asyncio.sleep(0.3)
 
+    def _check_meter(self, name: str, meter: Meter) -> None:
+        if meter.peak_mb > MEMORY_MB:
+            self.broken.append(f"MEMORY: {name} held {meter.peak_mb:.0f} MB")
+        if meter.peak_descriptors >= MAX_OPEN_FILES:
+            self.broken.append(f"DESCRIPTORS: {name} had all of them open")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that has begun to serve."""
         process = self.processes.get(name)
@@ -328,6 +348,7 @@
         """Play the faults for a time, and return what was broken."""
         loop = asyncio.get_running_loop()
         self.calm = False
+        raise_descriptor_limit()
         await self.start()
         try:
             await asyncio.sleep(3.0)
@@ -460,6 +481,21 @@
     soak.put("op/config", json.dumps(cfg).encode())
 
 
+@action
+async def press(soak: Soak) -> None:
+    """Have a crowd that does not behave at one listener of a process."""
+    name = soak.rng.choice([*soak.entries, *soak.agents])
+    settings = soak.settings[name]
+    listener = soak.rng.choice(["http", "http", "health", "rpc_port"])
+    address = str(settings[listener])
+    if listener == "rpc_port":
+        address = f"{settings['ip']}:{address}"
+    kind = KINDS[soak.rng.choice(sorted(KINDS))]
+    async with Crowd(address, kind, CROWD) as crowd:
+        await crowd.settled()
+        await asyncio.sleep(soak.rng.uniform(0.1, 4.0))
+
+
 def main() -> None:
     """Play seeds one after the other; exit with status 1 if any broke."""
     parser = argparse.ArgumentParser()
