Give up the largest waiting job for memory, not the oldest

Cause: with the oldest first, a few large jobs that no worker can take would have ended all that waited, and one that is larger than the whole budget would have ended all of them and then been refused. Now only jobs that hold as much as the new one give way. The oldest still gives way where requests that wait are too many.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/settings.py
@@ -51,8 +51,8 @@
     prefer_own_zone: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     # As the smallest machines of the users.
-    memory_mb: Annotated[float, msgspec.Meta(ge=32.0, le=1e6)] = 128.0
-    max_open_files: Annotated[int, msgspec.Meta(ge=256, le=2**30)] = 3075
+    memory_mb: Annotated[float, msgspec.Meta(ge=1.0, le=1e6)] = 128.0
+    max_open_files: Annotated[int, msgspec.Meta(ge=1, le=2**30)] = 3075
     intake: IntakeLimits = IntakeLimits()
 
     @property
--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -216,7 +216,11 @@
                 self._intake.count("linger")
                 self.abort()
             return
+        account = self._account
+        if account is not None and account.phase is Phase.IDLE:
+            self._quota.enter(account, Phase.UNFINISHED, self._now())
         self._parse(_READ_BUFFER[:nbytes])
+        self._serve_next()
 
     def pause_writing(self) -> None:
         """Serve and read no more requests while answers are not read."""
@@ -231,18 +235,13 @@
     # -- input ----------------------------------------------------------------
 
     def _parse(self, data: memoryview | bytes) -> None:
-        """Parse data until a limit is met; the rest is kept for later."""
-        if self._account is None or self._parser is None:
-            return
-        if self._account.phase is Phase.IDLE:
-            self._quota.enter(self._account, Phase.UNFINISHED, self._now())
+        """Parse data until it is enough for now; the rest is kept."""
         for at in range(0, len(data), SLICE_BYTES):
             if self._must_pause():
                 self._unparsed = bytes(data[at:])
-                break
+                return
             if not self._parse_slice(data[at : at + SLICE_BYTES]):
-                break
-        self._serve_next()
+                return
 
     def _parse_slice(self, data: memoryview | bytes) -> bool:
         """Parse some bytes; False if no more is to be parsed."""
@@ -393,20 +392,11 @@
             if not self._unparsed or self._must_pause():
                 break
             data, self._unparsed = self._unparsed, b""
-            self._parse_again(data)
+            self._parse(data)
         if self._refusal is not None and not self._answering:
             self._send_refusal(self._refusal)
         self._update()
 
-    def _parse_again(self, data: bytes) -> None:
-        """Parse what was kept until requests had been answered."""
-        for at in range(0, len(data), SLICE_BYTES):
-            if self._must_pause():
-                self._unparsed = data[at:]
-                return
-            if not self._parse_slice(data[at : at + SLICE_BYTES]):
-                return
-
     def _serve(self, call: HttpCall) -> None:
         if not self._ready:
             self._ahead_bytes = 0
--- a/packages/briarford-daemon/src/briarford_daemon/intake.py
+++ b/packages/briarford-daemon/src/briarford_daemon/intake.py
@@ -98,7 +98,11 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
-            self.sweep(asyncio.get_running_loop().time())
+            try:
+                self.sweep(asyncio.get_running_loop().time())
+            except Exception:
+                # Without sweeps no connection would end at its deadline.
+                LOGGER.exception("sweep-failed")
 
     def sweep(self, now: float) -> None:
         """End the connections that are past a deadline, and report.
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -49,7 +49,12 @@
     make_job,
     task_names,
 )
-from briarford.requests.job_memory import JobMemory, oldest_unstarted
+from briarford.requests.job_memory import (
+    JobMemory,
+    job_bytes,
+    largest_unstarted,
+    oldest_unstarted,
+)
 from briarford.requests.placing import (
     choose_agent,
     may_run_at,
@@ -171,9 +176,8 @@
         if exhausted:
             self._log("repeat-exhausted", job=request.job, task=exhausted)
             return self._given_up(exhausted)
-        while not self._memory.has_room(request):
-            if not self.give_up_oldest(now):
-                return self._refuse_full(request.job, now)
+        if not self._make_memory(request, now):
+            return self._refuse_full(request.job, now)
         usable = self._usable(route.service, now)
         estimates_s = tuple(s.expected_s for s in request.steps)
         request = self._estimates.correct(request, route.name)
@@ -217,26 +221,38 @@
         """
         if job_id in self._jobs:
             return self.refuse_repeat(job_id, now)
-        if job_id in self._answered or self.give_up_oldest(now):
+        if job_id in self._answered:
             return None
-        return self._refuse_full(job_id, now)
+        oldest = oldest_unstarted(self._jobs.values())
+        if oldest is None:
+            return self._refuse_full(job_id, now)
+        self._give_up(oldest, now)
+        return None
 
-    def give_up_oldest(self, now: float) -> bool:
-        """Refuse the job that waits longest and has had no run.
+    def _make_memory(self, request: JobRequest, now: float) -> bool:
+        """Make room for a job in memory.
 
-        :return: False if each open job has had one.
+        Jobs that have had no run and hold at least as much are given up, the
+        largest first.
+
+        :return: False if there is no room.
         """
-        job = oldest_unstarted(self._jobs.values())
-        if job is None:
-            return False
+        while not self._memory.has_room(request):
+            job = largest_unstarted(self._jobs.values())
+            if job is None or job_bytes(job.request) < job_bytes(request):
+                return False
+            self._give_up(job, now)
+        return True
+
+    def _give_up(self, job: Job, now: float) -> None:
+        """Refuse an open job that has had no run."""
         self.counts["given-up-for-room"] += 1
         refused = self._admission.refuse(
             RefusalReason.QUEUE_FULL,
-            "given up for later jobs, as it has waited longest",
+            "given up for later jobs",
             now + FULL_RETRY_S,
         )
         self._end_job(job, refused, now, keep_outcome=False)
-        return True
 
     def refuse_repeat(self, job_id: str, now: float) -> Failed:
         """Return the answer to a repeat of a job for which too many wait."""
--- a/packages/briarford/src/briarford/requests/job_memory.py
+++ b/packages/briarford/src/briarford/requests/job_memory.py
@@ -61,3 +61,13 @@
     :param jobs: in the order in which they were admitted.
     """
     return next((job for job in jobs if not job.started), None)
+
+
+def largest_unstarted(jobs: Iterable[Job]) -> Job | None:
+    """Return the job that holds most and has had no run.
+
+    :param jobs: in the order in which they were admitted; of equal ones the
+        first is returned.
+    """
+    waiting = (job for job in jobs if not job.started)
+    return max(waiting, key=lambda j: job_bytes(j.request), default=None)
