Keep data that is read although reading is paused

A transport may deliver one more read after it was paused; the rest that was kept for later would have been replaced by it. Read from the code, not seen: neither loop that is used does so.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -163,13 +163,13 @@
         self._task: asyncio.Task[None] | None = None
         self._answering = False
         self._closing = False
-        self._ignoring = False  # whatever else the client sends
+        self._ignoring = False  # what is sent from now on is dropped
         self._reading_paused = False
         self._writing_paused = False
         self._refusal: HttpReply | None = None
 
     def _reset_request(self) -> None:
-        """Forget the request that is being read."""
+        """Drop the request that is being read."""
         self._target = b""
         self._header_bytes = 0
         self._fields = 0
@@ -216,6 +216,9 @@
                 self._intake.count("linger")
                 self.abort()
             return
+        if self._unparsed:  # read although reading is paused
+            self._unparsed += _READ_BUFFER[:nbytes]
+            return
         account = self._account
         if account is not None and account.phase is Phase.IDLE:
             self._quota.enter(account, Phase.UNFINISHED, self._now())
@@ -292,7 +295,7 @@
             self._transport.resume_reading()
 
     def _drop_input(self) -> None:
-        """Forget all that was sent and is not being served."""
+        """Drop all that was sent and is not being served."""
         self._reset_request()
         self._reading = False
         self._silent_bytes = 0
