--- a/packages/briarford/tests/fleet/test_job_memory.py
+++ b/packages/briarford/tests/fleet/test_job_memory.py
@@ -85,7 +85,7 @@
     ids=["repeat, runs", "repeat, waits", "other, waits", "other, runs"],
 )
 def test_requests_over_the_number_that_may_wait(job, started, kind):
-    """A repeat is never told that its job has not run."""
+    """A repeat never gets a refusal, as its job may have run."""
     core = make_core(9)
     core.submit(request("j0"), ROUTE, NOW)
     core._jobs["j0"].started = started
