--- a/tests/adapter/test_crowds.py
+++ b/tests/adapter/test_crowds.py
@@ -24,8 +24,7 @@
 MEMORY_MB = 64
 # The users' machines keep 200 descriptors for files.
 MAX_OPEN_FILES = 400
-# Three times the largest number of connections that an entry had on days of
-# high load: 95 on shifted/kyklos-ops-now-grown, 53 on large/kyklos-ops-large.
+# More than any entry of the users has; docs/CAPACITY.md has their numbers.
 LARGEST_CROWD = 300
 DONE = (200, b'{"state":"completed"}')
 
