Answer a repeat with the outcome of its own job, not of the one before

A caller would see 410 for a repeated request, and the entry would go on with its job although no request waits for it: nothing ends that job, so it can run beside the next repeat elsewhere.

Cause: the outcome of a job is performed in the next turn, by the id of the job. A repeat that is admitted between the end and that turn has the same id; it gets the outcome of the cancelled job and leaves the list of requests that wait. Now each admission has a number, which outcome and waiting requests carry.

A job without tasks is answered at once, as its outcome is known; its test asked for None and now asks for the outcome itself.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -125,7 +125,8 @@
         )
         self._configuration = self._watch_configuration(store, evacuations)
         self._tasks = BackgroundTasks()
-        self._waiters: dict[str, list[asyncio.Future[Outcome]]] = {}
+        # By number of the job's admission.
+        self._waiters: dict[int, list[asyncio.Future[Outcome]]] = {}
         self._cancels: dict[str, asyncio.Future[None]] = {}
         self._driver: TurnDriver[EntryEffect] | None = None
 
@@ -242,7 +243,8 @@
         self._wake()
         if outcome is not None:
             return outcome
-        waiters = self._waiters.setdefault(request.job, [])
+        number = self.core.number_of(request.job)
+        waiters = self._waiters.setdefault(number, [])
         if len(waiters) >= self._cfg.intake.max_repeats:
             return self.core.refuse_repeat(request.job, submitted_at)
         fut: asyncio.Future[Outcome] = (
@@ -257,14 +259,18 @@
             self._metrics.observe_job(
                 route.name, self.clock.now() - submitted_at
             )
-            self._remove_waiter(request.job, fut)
+            self._remove_waiter(request.job, number, fut)
 
-    def _remove_waiter(self, job: str, fut: asyncio.Future[Outcome]) -> None:
+    def _remove_waiter(
+        self, job: str, number: int, fut: asyncio.Future[Outcome]
+    ) -> None:
         """Stop waiting for a job; cancel it if no other request waits."""
-        waiters = self._waiters.get(job, [])
+        waiters = self._waiters.get(number, [])
         if fut in waiters:
             waiters.remove(fut)
-        if not waiters and self._waiters.pop(job, None) is not None:
+        if waiters or self._waiters.pop(number, None) is None:
+            return
+        if self.core.number_of(job) == number:
             self.core.cancel(job, self.clock.now())
             self._wake()
 
@@ -341,7 +347,7 @@
             case DropLink():
                 self._links.drop(effect.link)
             case JobEnded():
-                for fut in self._waiters.pop(effect.job, ()):
+                for fut in self._waiters.pop(effect.number, ()):
                     if not fut.done():
                         fut.set_result(effect.outcome)
             case CancelConfirmed():
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -145,6 +145,7 @@
         )
         self._cancel_budget = CancelBudget()
         self._last_dispatch = 0
+        self._last_job = 0
         self._next_heartbeat_at = 0.0
         self._last_turn_at = 0.0
         self._place_not_before = 0.0
@@ -189,6 +190,8 @@
             return refused
         job = make_job(request, route, now, self._admission.stop_by)
         job.estimates_s, job.rank = estimates_s, rank
+        self._last_job += 1
+        job.number = self._last_job
         for task in job.tasks if self._crashes else ():
             task.suspect = self._crashes.is_suspect(task.name)
         self._jobs[request.job] = job
@@ -207,9 +210,10 @@
             worth=round(rank.worth, 2),
         )
         self._release_steps(job)
-        if job.done:
-            self._end_job(job, Completed(()), now)
-        return None
+        if not job.done:
+            return None
+        self._end_job(job, Completed(()), now)
+        return Completed(())
 
     def make_room(self, job_id: str, now: float) -> Outcome | None:
         """Let one more request wait, of which there are too many.
@@ -295,6 +299,11 @@
         self._end_job(job, failed, now, keep_outcome=False)
         return True
 
+    def number_of(self, job_id: str) -> int:
+        """Return the number of an open job's admission; 0 if none is open."""
+        job = self._jobs.get(job_id)
+        return job.number if job is not None else 0
+
     def forward_cancel(self, job_id: str, now: float) -> bool:
         """Ask the other entries, by way of the agents, to cancel a job.
 
@@ -674,7 +683,7 @@
             objective_ms=round((job.objective_at - job.accepted_at) * 1000),
             reason=_reason(outcome),
         )
-        self._effects.append(JobEnded(job_id, outcome))
+        self._effects.append(JobEnded(job_id, job.number, outcome))
 
     def _stop_run(self, task: Task) -> None:
         """Ask the agent of a placed task to stop its run."""
--- a/packages/briarford/src/briarford/requests/effects.py
+++ b/packages/briarford/src/briarford/requests/effects.py
@@ -57,10 +57,12 @@
     """Answer the clients that wait for a job.
 
     :param job: id of the job.
+    :param number: of its admission; a repeat may have been admitted since.
     :param outcome: what to answer.
     """
 
     job: str
+    number: int
     outcome: Outcome
 
 
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -142,6 +142,7 @@
         ``request`` have the expected work.
     :param observed: whether one of its runs has been used to learn from.
     :param rank: its rank while room is scarce; None for the highest.
+    :param number: of its admission, unique within this process.
     """
 
     request: JobRequest
@@ -155,6 +156,7 @@
     estimates_s: tuple[float, ...] = ()
     observed: bool = False
     rank: JobRank | None = None
+    number: int = 0
 
     @property
     def expires_at(self) -> float:
--- a/packages/briarford/tests/fleet/test_job_memory.py
+++ b/packages/briarford/tests/fleet/test_job_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briarford.outcomes import Failed, Refused
+from briarford.outcomes import Completed, Failed, Refused
 from briarford.requests import Dispatcher, JobEnded
 from briarford.requests.job_memory import job_bytes
 from fleet.world import ROUTE, request
@@ -97,6 +97,7 @@
 def test_outcomes_of_jobs_without_tasks_are_not_kept():
     """Clients could fill the memory with them at any rate."""
     core = make_core(9)
-    assert core.submit(request("j0", count=0), ROUTE, NOW) is None
+    outcome = core.submit(request("j0", count=0), ROUTE, NOW)
+    assert outcome == Completed(())
     core.turn(NOW)
     assert not core._answered
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -499,7 +499,7 @@
                 self._raise_token(node, node.generation)
             case CancelConfirmed(job):
                 self.confirmed_cancels.append((node.name, job, self.now))
-            case JobEnded(job, outcome):
+            case JobEnded(job, _, outcome):
                 if (node.name, job) not in self.disconnected:
                     self.outcomes[job] = (self.now, outcome)
             case AgentEvent(action, fields) | EntryEvent(action, fields):
