End a job when the time is over that its client has said it waits

Callers saw one job run twice at once: by one entry for a client that had gone, and by another one for its repeat.

Cause: an entry goes on with a job as long as the connection of its client seems open, and its sessions keep the runs going. If the end of the connection is lost on the way, no later sign comes. Every other permission between processes ends by itself (session, lease, echo of an order); this one did not.

Now the entry keeps the time at which the last client of a job stops waiting, and ends the job then: 504 if it was started (its runs are stopped before the client may repeat, 1.3 s later), else 503, which is true.

Weighed: to send the deadline with each order, so that the agent ends the run itself.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import os
 from collections.abc import Sequence
 from typing import Protocol
@@ -227,19 +228,25 @@
         await self._tasks.cancel()
         await self._links.stop()
 
-    async def submit(self, request: JobRequest, route: Route) -> Outcome:
+    async def submit(
+        self,
+        request: JobRequest,
+        route: Route,
+        answer_by: float = math.inf,
+    ) -> Outcome:
         """Submit a job and wait for its outcome.
 
         A repeated request joins the job that was submitted first.
 
         :param route: the route that the request matched.
+        :param answer_by: when its client stops waiting, in Unix seconds.
         """
         submitted_at = self.clock.now()
         outcome = None
         if self._waiting >= self._max_waiting:
             outcome = self.core.make_room(request.job, submitted_at)
         if outcome is None:
-            outcome = self.core.submit(request, route, submitted_at)
+            outcome = self.core.submit(request, route, submitted_at, answer_by)
         self._wake()
         if outcome is not None:
             return outcome
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from collections.abc import Set as AbstractSet
@@ -99,6 +100,7 @@
 CATCH_UP_S = 0.15
 FULL_RETRY_S = 1.0  # jobs end or are given up within a second
 KEEP_OUTCOME_S = 10.0  # clients repeat an answered request within seconds
+NOT_AWAITED = "the client waits no longer"
 
 
 class Dispatcher:
@@ -153,7 +155,11 @@
     # -- requests -----------------------------------------------------------
 
     def submit(
-        self, request: JobRequest, route: Route, now: float
+        self,
+        request: JobRequest,
+        route: Route,
+        now: float,
+        answer_by: float = math.inf,
     ) -> Outcome | None:
         """Admit or refuse a job.
 
@@ -165,13 +171,18 @@
         :param request: the job.
         :param route: the route that its host and path select.
         :param now: Unix time in seconds.
+        :param answer_by: when its client stops waiting, in Unix seconds. The
+            job ends then: its client may repeat it at another entry, although
+            nothing shows here that it has left.
         :return: its outcome if that is known at once; None if a
             :class:`JobEnded` effect will report it.
         """
         answered = self._answered.get(request.job)
         if answered is not None:
             return answered[1]
-        if request.job in self._jobs:
+        open_job = self._jobs.get(request.job)
+        if open_job is not None:
+            open_job.answer_by = max(open_job.answer_by, answer_by)
             return None
         exhausted = self._find_exhausted(request)
         if exhausted:
@@ -191,7 +202,7 @@
         job = make_job(request, route, now, self._admission.stop_by)
         job.estimates_s, job.rank = estimates_s, rank
         self._last_job += 1
-        job.number = self._last_job
+        job.number, job.answer_by = self._last_job, answer_by
         for task in job.tasks if self._crashes else ():
             task.suspect = self._crashes.is_suspect(task.name)
         self._jobs[request.job] = job
@@ -208,6 +219,7 @@
             waiting=len(self._waiting),
             priority=rank.priority,
             worth=round(rank.worth, 2),
+            wanted_for_ms=_ms_until(answer_by, now),
         )
         self._release_steps(job)
         if not job.done:
@@ -728,6 +740,7 @@
         if now >= self._next_heartbeat_at:
             self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
             self._refuse_expired(now)
+            self._end_unawaited(now)
             self._send_heartbeats(now)
         effects, self._effects = self._effects, []
         return effects
@@ -868,6 +881,29 @@
             )
             self._end_job(job, refused, now, keep_outcome=False)
 
+    def _end_unawaited(self, now: float) -> None:
+        """End jobs whose clients wait no longer.
+
+        A client whose departure was not noticed may repeat its request at
+        another entry. What is not stopped then would run twice.
+        """
+        for job in list(self._jobs.values()):
+            if now < job.answer_by:
+                continue
+            outcome: Outcome = self._admission.refuse(
+                RefusalReason.DEADLINE_PASSED, NOT_AWAITED, now + FULL_RETRY_S
+            )
+            if job.started:
+                outcome = Failed(
+                    FailureReason.DEADLINE_PASSED,
+                    NOT_AWAITED,
+                    Step.RUNNING,
+                    self.name,
+                    retry_at=now + AGENT_LOST_S,
+                )
+            self.counts["ended-unawaited"] += 1
+            self._end_job(job, outcome, now, keep_outcome=False)
+
     def _send_heartbeats(self, now: float) -> None:
         """Send a heartbeat to each agent, and drop outcomes kept long enough.
 
@@ -950,6 +986,11 @@
             return ""
 
 
+def _ms_until(at: float, now: float) -> int:
+    """Return the milliseconds until a time; 0 for an infinite one."""
+    return 0 if math.isinf(at) else max(1, math.ceil((at - now) * 1000))
+
+
 def _ends_after_expiry(task: Task, now: float) -> bool:
     """Whether a task that starts now ends when its job is of no use."""
     return now + task.spec.expected_s > task.job.expires_at
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -100,7 +100,6 @@
     ]
 
 
-@KNOWN_RED
 async def test_a_job_whose_client_waits_no_longer_ends(fleet: Soak):
     """Guards against a job that goes on beside its repeat elsewhere.
 
--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import pytest
 
@@ -17,7 +19,11 @@
 from briarford.routes import ConfigurationHolder
 from briarford.runs import Capacity
 from briarford_platform.configuration import decode_configuration
-from briarford_platform.jobs import decode_job, encode_outcome
+from briarford_platform.jobs import (
+    decode_deadline,
+    decode_job,
+    encode_outcome,
+)
 from briarford_platform.workers import decode_report
 
 REPORT = {
@@ -164,6 +170,18 @@
             b'{"error":"d"}',
             3,
         ),
+        (
+            Failed(
+                FailureReason.DEADLINE_PASSED,
+                "d",
+                Step.RUNNING,
+                "p",
+                retry_at=102.1,
+            ),
+            504,
+            b'{"error":"d"}',
+            3,
+        ),
         (
             Refused(RefusalReason.STOPPING, "d", Step.ADMIT, "p", 101.2),
             503,
@@ -177,7 +195,14 @@
             0,
         ),
     ],
-    ids=["completed", "failed", "to be repeated", "stopping", "unsupported"],
+    ids=[
+        "completed",
+        "failed",
+        "to be repeated",
+        "not awaited",
+        "stopping",
+        "unsupported",
+    ],
 )
 def test_outcome_is_encoded(outcome, status, body, retry_after_s):
     reply = encode_outcome(outcome, 100.0)
@@ -186,6 +211,24 @@
     assert reply.retry_after_s == retry_after_s
 
 
+@pytest.mark.parametrize(
+    ("text", "wait_s"),
+    [
+        ("1500", 1.5),
+        ("999999999", 999_999.999),
+        ("", math.inf),
+        ("0", math.inf),
+        ("-5", math.inf),
+        ("1.5", math.inf),
+        ("soon", math.inf),
+        ("9" * 5000, math.inf),
+    ],
+)
+def test_the_deadline_of_a_client_is_decoded(text, wait_s):
+    headers = {"deadline-ms": text} if text else {}
+    assert decode_deadline(headers, NOW) == NOW + wait_s
+
+
 def test_a_client_that_has_left_gets_no_answer():
     failed = Failed(FailureReason.CANCELLED, "d", Step.RUNNING, "p")
     assert encode_outcome(failed, 100.0) is None
