Ask the machines of silent clients if their connections are still there

A client's connection that is reset ends at the entry with one packet, which the network may lose; nothing repeats it. The entry then goes on with the job until its client's own time is over, while the client repeats its request after 1.3 s.

Now the kernel probes each connection of the HTTP listeners after a second of silence, and each second from then on: the client's machine answers a probe of a connection that is gone with a reset, so that it is noticed within a second and the time of the answer. Five probes without an answer end it as well.

--- a/packages/briarford-daemon/src/briarford_daemon/early_sockets.py
+++ b/packages/briarford-daemon/src/briarford_daemon/early_sockets.py
@@ -19,6 +19,11 @@
 
 __all__ = ["close_early_sockets", "create_server", "listen_early"]
 
+# After a second of silence the machine of a peer is asked if the connection is
+# still there, and again each second. It resets one whose end was lost on the
+# way; without any answer the connection ends.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 5
 BACKLOG = 512  # connections of all clients, made again within one second
 
 _SOCKETS: dict[tuple[str, int], socket.socket] = {}
@@ -51,16 +56,21 @@
     port: int,
     backlog: int,
     receive_buffer: int = 0,
+    keepalive: bool = False,
 ) -> asyncio.Server:
     """Serve an address, on the socket that listens there already if any.
 
     :param receive_buffer: bytes that the kernel keeps for each connection
         while it is not read; 0 for as many as it likes.
+    :param keepalive: whether the end of a connection is to be noticed although
+        it was lost on the way.
     """
     sock = _SOCKETS.pop((host, port), None) or _bind(host, port)
     if receive_buffer:
         # Accepted connections inherit it.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    if keepalive:
+        _keep_alive(sock)
     return await loop.create_server(make_protocol, sock=sock, backlog=backlog)
 
 
@@ -76,6 +86,15 @@
     return sock
 
 
+def _keep_alive(sock: socket.socket) -> None:
+    """Ask silent peers on all connections that a socket accepts."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 def close_early_sockets() -> None:
     """Close the sockets that no server has used."""
     while _SOCKETS:
--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -104,6 +104,7 @@
             self._port,
             BACKLOG,
             RECEIVE_BUFFER_BYTES,
+            keepalive=True,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -247,3 +247,15 @@
     for client in clients:
         client.close()
     assert len(handler.calls) == calls
+
+
+async def test_a_connection_whose_end_was_lost_is_probed():
+    """Guards against a job that goes on for a client that was reset."""
+    async with connected() as (handler, listener, _, writer):
+        writer.write(request(path="/wait"))
+        await handler.started.wait()
+        (connection,) = listener._connections
+        sock = connection._transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+            assert sock.getsockopt(socket.IPPROTO_TCP, option) == 1
