Count a client's time from the arrival of its request

An entry that starts, or stands still, reads a request long after it has arrived, and took its client's time to begin then: a job could go on, or begin, after its client had left and repeated it.

Now the age of a request is read from the kernel (TCP_INFO, the time since data last arrived; 0 where the kernel does not say), and a request whose client's time is over when it is read is refused at once: 503, nothing has run.

test_the_arrival_of_a_request_is_known_after_a_pause holds the age, test_a_request_that_is_read_too_late_runs_nothing the refusal; both need what was added here, so they could not be run before it.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -10,6 +10,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -38,6 +40,9 @@
 FIELD_BYTES = 160
 CALL_BYTES = 640
 RETRY_AFTER_S = 1
+MS_PER_S = 1000
+# The field tcpi_last_data_recv of struct tcp_info, in milliseconds.
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
 # Turns of the event loop in which the end of a connection that follows its
 # request at once is read and reported.
 SETTLE_TURNS = 4
@@ -73,6 +78,8 @@
     :param headers: values by lower-case name.
     :param body: the whole body; dropped once the handler has returned.
     :param keep_alive: whether the client wants to go on using the connection.
+    :param arrived_at: when its last bytes arrived at this machine, on the
+        clock of the event loop; the process may have read them later.
     """
 
     method: str = ""
@@ -80,6 +87,7 @@
     headers: dict[str, str] = msgspec.field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    arrived_at: float = 0.0
 
 
 Handler = Callable[[HttpCall], HttpReply | Awaitable[HttpReply]]
@@ -303,6 +311,23 @@
         else:
             self._transport.resume_reading()
 
+    def _silent_s(self) -> float:
+        """Return for how many seconds no data has arrived.
+
+        0 if the kernel does not say.
+        """
+        if self._transport is None:
+            return 0.0
+        sock = self._transport.get_extra_info("socket")
+        try:
+            info = sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size
+            )
+            (silent_ms,) = LAST_DATA_RECEIVED.unpack(info)
+        except (OSError, struct.error):
+            return 0.0
+        return float(silent_ms) / MS_PER_S
+
     def _drop_input(self) -> None:
         """Drop all that was sent and is not being served."""
         self._reset_request()
@@ -377,6 +402,7 @@
             self._headers,
             bytes(self._body),
             self._parser.should_keep_alive(),
+            self._now() - self._silent_s(),
         )
         self._ahead_bytes += self._partial_bytes() + CALL_BYTES
         self._reset_request()
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
+import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -249,6 +251,17 @@
     assert len(handler.calls) == calls
 
 
+async def test_the_arrival_of_a_request_is_known_after_a_pause():
+    """Guards against a client's time that starts when the entry wakes."""
+    async with connected() as (handler, _, reader, writer):
+        sock = writer.get_extra_info("socket")
+        os.write(sock.fileno(), request())
+        sent_at = asyncio.get_running_loop().time()
+        time.sleep(0.3)  # noqa: ASYNC251
+        await read_answer(reader)
+        assert abs(handler.calls[0].arrived_at - sent_at) < 0.15
+
+
 async def test_a_connection_whose_end_was_lost_is_probed():
     """Guards against a job that goes on for a client that was reset."""
     async with connected() as (handler, listener, _, writer):
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -184,6 +184,8 @@
         if open_job is not None:
             open_job.answer_by = max(open_job.answer_by, answer_by)
             return None
+        if answer_by <= now:
+            return self._refuse_unawaited(request.job, now)
         exhausted = self._find_exhausted(request)
         if exhausted:
             self._log("repeat-exhausted", job=request.job, task=exhausted)
@@ -890,9 +892,7 @@
         for job in list(self._jobs.values()):
             if now < job.answer_by:
                 continue
-            outcome: Outcome = self._admission.refuse(
-                RefusalReason.DEADLINE_PASSED, NOT_AWAITED, now + FULL_RETRY_S
-            )
+            outcome: Outcome = self._unawaited(now)
             if job.started:
                 outcome = Failed(
                     FailureReason.DEADLINE_PASSED,
@@ -904,6 +904,18 @@
             self.counts["ended-unawaited"] += 1
             self._end_job(job, outcome, now, keep_outcome=False)
 
+    def _refuse_unawaited(self, job_id: str, now: float) -> Refused:
+        """Refuse a request that was read after its client's time."""
+        reason = RefusalReason.DEADLINE_PASSED.value
+        self.counts[f"refused-{reason}"] += 1
+        self._log("refused", job=job_id, reason=reason)
+        return self._unawaited(now)
+
+    def _unawaited(self, now: float) -> Refused:
+        return self._admission.refuse(
+            RefusalReason.DEADLINE_PASSED, NOT_AWAITED, now + FULL_RETRY_S
+        )
+
     def _send_heartbeats(self, now: float) -> None:
         """Send a heartbeat to each agent, and drop outcomes kept long enough.
 
--- a/packages/briarford/tests/fleet/test_client_deadlines.py
+++ b/packages/briarford/tests/fleet/test_client_deadlines.py
@@ -113,6 +113,20 @@
     assert not world.overlaps()
 
 
+@pytest.mark.parametrize(("left_s", "runs"), [(0.0, 0), (-1.0, 0), (0.5, 2)])
+def test_a_request_that_is_read_too_late_runs_nothing(left_s, runs):
+    """Guards against a run for a client that left while the entry stood."""
+    world = make_world(1)
+    world.submit(
+        world.entries["e0"],
+        request("j", work_s=0.1),
+        answer_by=world.now + left_s,
+    )
+    world.run(2.0)
+    assert len(world.history()) == runs
+    assert isinstance(world.refused.get("j"), Refused) is (runs == 0)
+
+
 def test_an_ended_job_and_its_repeat_have_numbers_of_their_own():
     """Guards against a repeat that gets the outcome of the job before it."""
     core = make_world().entries["e0"].core
