--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -51,10 +51,21 @@
 MAX_OPEN_FILES = 400
 CROWD = 150
 REFUSALS = frozenset({429, 503})
+# Of the clients whose time is over, those whose connections stay open, as if
+# their ends had been lost on the way.
+UNNOTICED_SHARE = 0.5
+# Short enough that jobs outlast it.
+SHORT_PATIENCE_S = 0.6
+HERD_SHARE = 0.6
 
 Action = Callable[["Soak"], Awaitable[None]]
 ACTIONS: list[Action] = []
 
+JOB = {
+    "spec": "s",
+    "best_effort": True,
+    "steps": [{"count": 2, "cpu": 1000, "mem_mb": 1, "estimated_ms": 300}],
+}
 ODD_FIELDS: list[dict[str, Any]] = [
     {"service": "archive"},
     {"address": "127.0.0.1:9"},
@@ -179,6 +190,7 @@
         self._logged_before: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._jobs = itertools.count(1)
+        self._left_open: list[asyncio.StreamWriter] = []
 
     # -- processes ----------------------------------------------------------
 
@@ -291,16 +303,15 @@
 
     # -- clients ------------------------------------------------------------
 
-    async def _submit(self, entry: str, job: str, patience_s: float) -> int:
+    async def submit(self, entry: str, job: str, patience_s: float) -> int:
         """Submit a job; 0 if its connection broke or its client left."""
-        step = {"count": 2, "cpu": 1000, "mem_mb": 1, "estimated_ms": 300}
-        body = {"spec": "s", "best_effort": True, "steps": [step]}
         url = f"http://{self.settings[entry]['http']}/p/{job}"
+        deadline = f"{patience_s * 1000:.0f}"
         try:
             async with self.http.post(
                 url,
-                json=body,
-                headers={"Host": "h.example", "Deadline-Ms": "8000"},
+                json=JOB,
+                headers={"Host": "h.example", "Deadline-Ms": deadline},
                 timeout=aiohttp.ClientTimeout(total=patience_s),
             ) as resp:
                 await resp.read()
@@ -308,18 +319,47 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
 
+    async def send(
+        self, entry: str, job: str, patience_s: float
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a job on a connection that stays open until it is closed."""
+        host, _, port = str(self.settings[entry]["http"]).partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self._left_open.append(writer)
+        body = json.dumps(JOB)
+        writer.write(
+            f"POST /p/{job} HTTP/1.1\r\nHost: h.example\r\n"
+            f"Deadline-Ms: {patience_s * 1000:.0f}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        return reader, writer
+
+    async def submit_unnoticed(
+        self, entry: str, job: str, patience_s: float
+    ) -> int:
+        """Submit a job; its client leaves, and the entry does not see it."""
+        try:
+            async with asyncio.timeout(patience_s):
+                reader, _ = await self.send(entry, job, patience_s)
+                return int((await reader.readline()).split()[1])
+        except (IndexError, TimeoutError, OSError):
+            return 0
+
     async def client(self, patience_s: float = 8.0) -> int:
         """Submit a job, and repeat it at another entry while it breaks."""
         job = f"{next(self._jobs):016x}"
         for worker in self.workers:
             worker.core.needs[job] = (1000, self.rng.uniform(0.1, 1.2))
         status = 0
+        unnoticed = patience_s == SHORT_PATIENCE_S
+        unnoticed = unnoticed and self.rng.random() < UNNOTICED_SHARE
+        submit = self.submit_unnoticed if unnoticed else self.submit
         for repeat in range(3):
             entry = self.rng.choice(self.entries)
-            status = await self._submit(entry, job, patience_s)
+            status = await submit(entry, job, patience_s)
             if status in REFUSALS and not repeat:
                 self.refused.append(job)
-            if status not in (0, 502):
+            if status not in (0, 502, 504):
                 break
             await asyncio.sleep(REPEAT_DELAY_S)
         self.statuses[status] = self.statuses.get(status, 0) + 1
@@ -338,7 +378,7 @@
     async def _traffic(self) -> None:
         async with asyncio.TaskGroup() as clients:
             while not self.calm:
-                patience_s = self.rng.choice((8.0, 8.0, 8.0, 0.6))
+                patience_s = self.rng.choice((8.0, 8.0, 8.0, SHORT_PATIENCE_S))
                 clients.create_task(self.client(patience_s))
                 await asyncio.sleep(JOB_PERIOD_S)
 
@@ -396,6 +436,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for writer in self._left_open:
+            writer.close()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
@@ -412,6 +454,14 @@
     soak.signal(name, signal.SIGKILL)
 
 
+@action
+async def kill_herd(soak: Soak) -> None:
+    """Kill many processes at once, as when their machines lose power."""
+    for name in [*soak.entries, *soak.agents]:
+        if soak.rng.random() < HERD_SHARE:
+            soak.signal(name, signal.SIGKILL)
+
+
 @action
 async def terminate(soak: Soak) -> None:
     name = soak.rng.choice([*soak.entries, *soak.agents])
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import json
 import signal
 
 import pytest
@@ -34,7 +33,7 @@
     """Wait until an entry serves jobs."""
     async with asyncio.timeout(START_S):
         while True:
-            if await fleet._submit(entry, new_job(fleet, 0.05), 5.0) == 200:
+            if await fleet.submit(entry, new_job(fleet, 0.05), 5.0) == 200:
                 return
             await asyncio.sleep(0.1)
 
@@ -46,22 +45,6 @@
     return job
 
 
-async def send_job(
-    fleet: Soak, entry: str, job: str, deadline_s: float
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Send a job on a connection of its own, and leave that open."""
-    host, _, port = fleet.settings[entry]["http"].partition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    step = {"count": 2, "cpu": 1000, "mem_mb": 1, "estimated_ms": 300}
-    body = json.dumps({"spec": "s", "best_effort": True, "steps": [step]})
-    writer.write(
-        f"POST /p/{job} HTTP/1.1\r\nHost: h.example\r\n"
-        f"Deadline-Ms: {deadline_s * 1000:.0f}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
-    )
-    return reader, writer
-
-
 async def wait_for_run(fleet: Soak, job: str) -> None:
     async with asyncio.timeout(START_S):
         while True:
@@ -105,11 +88,11 @@
     The connection stays open, as if its end had been lost on the way.
     """
     job = new_job(fleet, WORK_S)
-    _, writer = await send_job(fleet, "entry-0", job, DEADLINE_S)
+    _, writer = await fleet.send("entry-0", job, DEADLINE_S)
     with contextlib.closing(writer):
         await wait_for_run(fleet, job)
         await asyncio.sleep(DEADLINE_S + REPEAT_DELAY_S)
-        assert await fleet._submit("entry-1", job, 10.0) == 200
+        assert await fleet.submit("entry-1", job, 10.0) == 200
     assert not overlaps(fleet, job)
 
 
@@ -126,7 +109,7 @@
         while len(jobs) < 20:
             job = new_job(fleet, WORK_S)
             with contextlib.suppress(OSError):
-                _, writer = await send_job(fleet, "entry-0", job, 8.0)
+                _, writer = await fleet.send("entry-0", job, 8.0)
                 await writer.drain()
                 writer.close()
                 jobs.append(job)
