Judge only requests that waited for the start of their entry

The test failed in 4 of 4 runs at a load of 18: the entry had started 0.27 s after the first request, and the last ones of 20 were sent to a process that served. There the end of a connection that is closed 1 ms after its request comes later than the order, as it must.

--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import contextlib
+import json
 import signal
+import time
 
 import pytest
 
@@ -17,6 +19,9 @@
 WORK_S = 4.0
 DEADLINE_S = 1.0
 START_S = 30.0
+JOBS = 20
+# An entry serves shortly before it logs that it has started.
+SERVED_EARLY_S = 0.02
 
 
 @pytest.fixture
@@ -96,23 +101,45 @@
     assert not overlaps(fleet, job)
 
 
+async def leave_early(fleet: Soak, entry: str) -> dict[str, float]:
+    """Send jobs to an entry that is starting, and close the connections.
+
+    :return: when each connection was closed, in Unix seconds.
+    """
+    closed: dict[str, float] = {}
+    async with asyncio.timeout(START_S):
+        while len(closed) < JOBS:
+            job = new_job(fleet, WORK_S)
+            try:
+                _, writer = await fleet.send(entry, job, 8.0)
+                await writer.drain()
+            except OSError:
+                await asyncio.sleep(0.01)  # it does not listen yet
+                continue
+            writer.close()
+            await writer.wait_closed()
+            closed[job] = time.time()
+    return closed
+
+
+def started_at(fleet: Soak, entry: str) -> float:
+    """Return when an entry has begun to serve, in Unix seconds."""
+    lines = (fleet.folder / f"{entry}.log").read_text().splitlines()
+    events = [json.loads(line) for line in lines]
+    return max(e["time"] for e in events if e["message"] == "started")
+
+
 async def test_a_request_whose_client_has_left_runs_nothing(fleet: Soak):
     """Guards against a run that starts before the end of its connection shows.
 
     The request waits in the socket on which the entry listens early.
     """
-    fleet.signal("entry-0", signal.SIGKILL)
-    jobs: list[str] = []
     process = fleet.processes["entry-0"]
+    fleet.signal("entry-0", signal.SIGKILL)
     await process.wait()
-    async with asyncio.timeout(START_S):
-        while len(jobs) < 20:
-            job = new_job(fleet, WORK_S)
-            with contextlib.suppress(OSError):
-                _, writer = await fleet.send("entry-0", job, 8.0)
-                await writer.drain()
-                writer.close()
-                jobs.append(job)
-            await asyncio.sleep(0.01)
+    closed = await leave_early(fleet, "entry-0")
     await serve(fleet, "entry-0")
-    assert not [r for r in runs(fleet) if r.task.partition(".")[0] in jobs]
+    began = started_at(fleet, "entry-0")
+    waited = {job for job, at in closed.items() if at < began - SERVED_EARLY_S}
+    assert waited
+    assert not [r for r in runs(fleet) if r.task.partition(".")[0] in waited]
