Go on taking reports of workers that have left their connection

Only requests of clients are left out now; what a worker reports counts although it has gone. Held by a row of test_a_client_that_left_before_the_start_is_not_served.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -143,8 +143,8 @@
     :param limits: on a request.
     :param intake: of the process.
     :param quota: of the listener.
-    :param may_have_ended: whether its client may have left long ago, while
-        the connection waited to be accepted. Its first request is served only
+    :param may_have_ended: whether its client may have left while the
+        connection waited to be accepted. Its first request is served only
         once the end of the connection would have shown.
     """
 
--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -56,6 +56,8 @@
     :param connections: largest number of connections; that of clients by
         default.
     :param limits: on requests; those on requests of clients by default.
+    :param skip_departed: whether a request that waited for the start of the
+        process is left out if its client has closed the connection.
     """
 
     def __init__(
@@ -66,7 +68,9 @@
         intake: Intake | None = None,
         connections: int = 0,
         limits: RequestLimits | None = None,
+        skip_departed: bool = False,
     ) -> None:
+        self._skip_departed = skip_departed
         self._handler = handler
         self._host = host
         self._port = port
@@ -89,7 +93,7 @@
         """
         loop = asyncio.get_running_loop()
         quota = self._quota = self._intake.add_listener(self._limit)
-        waited_until = loop.time() + WAITED_S
+        waited_until = loop.time() + WAITED_S if self._skip_departed else 0.0
         self._server = await create_server(
             loop,
             lambda: HttpConnection(
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -217,16 +217,22 @@
 
 
 @pytest.mark.parametrize(
-    ("linger", "calls"),
-    [(None, 5), (b"", 0), (struct.pack("ii", 1, 0), 0)],
-    ids=["stays", "closed", "reset"],
+    ("linger", "skip_departed", "calls"),
+    [
+        (None, True, 5),
+        (b"", True, 0),
+        (struct.pack("ii", 1, 0), True, 0),
+        (b"", False, 5),
+    ],
+    ids=["stays", "closed", "reset", "closed, a worker's report"],
 )
 async def test_a_client_that_left_before_the_start_is_not_served(
-    linger, calls
+    linger, skip_departed, calls
 ):
     """Guards against a run for a client whose repeat is served elsewhere.
 
-    The requests wait in a socket that listens before the server starts.
+    The requests wait in a socket that listens before the server starts. What
+    a worker reports counts although it has gone.
     """
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
@@ -242,7 +248,7 @@
         if linger is not None:
             client.close()
     handler = Handler()
-    listener = HttpListener(handler, *address)
+    listener = HttpListener(handler, *address, skip_departed=skip_departed)
     await listener.start()
     await asyncio.sleep(0.2)
     await listener.stop()
