--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -424,8 +424,9 @@
         loop, one in each, so that other connections have theirs.
         """
         if self._turns_to_settle and self._can_serve():
-            self._turns_to_settle -= 1
-            self._serve_soon()
+            if not self._serving_soon:
+                self._turns_to_settle -= 1
+                self._serve_soon()
             self._update()
             return
         if self._can_serve():
