--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -215,6 +215,22 @@
     assert LEASE_MS <= ahead_ms <= LEASE_MS + CLOCK_ERROR_MS
 
 
+async def test_the_first_lease_follows_the_listing_before_it(
+    worker, worker_server
+):
+    """Guards against first runs that lapse, as their lease ends too early.
+
+    The heartbeat is old: it has waited while the agent started.
+    """
+    stand_in, address = worker_server
+    stand_in.answer = {"clock_ms": 900_000}
+    order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
+    await worker.list_runs(report(address), 0, 42, 0.0, 0.0)
+    await worker.start_run(report(address), order, 42, LEASE_S)
+    ahead_ms = stand_in.calls[1][1]["deadline_ms"] - 900_000
+    assert LEASE_MS <= ahead_ms <= LEASE_MS + CLOCK_ERROR_MS
+
+
 async def test_a_failed_request_for_a_listing_gives_the_reason(
     worker, worker_server
 ):
