--- a/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/entry.py
@@ -232,21 +232,21 @@
         self,
         request: JobRequest,
         route: Route,
-        answer_by: float = math.inf,
+        deadline: float = math.inf,
     ) -> Outcome:
         """Submit a job and wait for its outcome.
 
         A repeated request joins the job that was submitted first.
 
         :param route: the route that the request matched.
-        :param answer_by: when its client stops waiting, in Unix seconds.
+        :param deadline: when its client stops waiting, in Unix seconds.
         """
         submitted_at = self.clock.now()
         outcome = None
         if self._waiting >= self._max_waiting:
             outcome = self.core.make_room(request.job, submitted_at)
         if outcome is None:
-            outcome = self.core.submit(request, route, submitted_at, answer_by)
+            outcome = self.core.submit(request, route, submitted_at, deadline)
         self._wake()
         if outcome is not None:
             return outcome
--- a/packages/briarford-daemon/src/briarford_daemon/fleet/events.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/events.py
@@ -1,7 +1,7 @@
 """Logs the decisions of the cores.
 
 Each job and each run has lines of its own, hundreds a second. The rare events
-that say which runs are believed to have ended, and why, are warnings, so that
+that show which runs are believed to have ended, and why, are warnings, so that
 they are found in a log that has been cut short or filtered.
 """
 
--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -314,7 +314,7 @@
     def _silent_s(self) -> float:
         """Return for how many seconds no data has arrived.
 
-        0 if the kernel does not say.
+        0 if the kernel does not report it.
         """
         if self._transport is None:
             return 0.0
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -232,7 +232,7 @@
     """Guards against a run for a client whose repeat is served elsewhere.
 
     The requests wait in a socket that listens before the server starts. What
-    a worker reports counts although it has gone.
+    a worker reports counts although it has left.
     """
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -100,7 +100,7 @@
 CATCH_UP_S = 0.15
 FULL_RETRY_S = 1.0  # jobs end or are given up within a second
 KEEP_OUTCOME_S = 10.0  # clients repeat an answered request within seconds
-NOT_AWAITED = "the client waits no longer"
+DEADLINE_DETAIL = "the deadline of its client has passed"
 
 
 class Dispatcher:
@@ -159,7 +159,7 @@
         request: JobRequest,
         route: Route,
         now: float,
-        answer_by: float = math.inf,
+        deadline: float = math.inf,
     ) -> Outcome | None:
         """Admit or refuse a job.
 
@@ -171,7 +171,7 @@
         :param request: the job.
         :param route: the route that its host and path select.
         :param now: Unix time in seconds.
-        :param answer_by: when its client stops waiting, in Unix seconds. The
+        :param deadline: when its client stops waiting, in Unix seconds. The
             job ends then: its client may repeat it at another entry, although
             nothing shows here that it has left.
         :return: its outcome if that is known at once; None if a
@@ -182,10 +182,10 @@
             return answered[1]
         open_job = self._jobs.get(request.job)
         if open_job is not None:
-            open_job.answer_by = max(open_job.answer_by, answer_by)
+            open_job.deadline = max(open_job.deadline, deadline)
             return None
-        if answer_by <= now:
-            return self._refuse_unawaited(request.job, now)
+        if deadline <= now:
+            return self._refuse_past_deadline(request.job, now)
         exhausted = self._find_exhausted(request)
         if exhausted:
             self._log("repeat-exhausted", job=request.job, task=exhausted)
@@ -204,7 +204,7 @@
         job = make_job(request, route, now, self._admission.stop_by)
         job.estimates_s, job.rank = estimates_s, rank
         self._last_job += 1
-        job.number, job.answer_by = self._last_job, answer_by
+        job.number, job.deadline = self._last_job, deadline
         for task in job.tasks if self._crashes else ():
             task.suspect = self._crashes.is_suspect(task.name)
         self._jobs[request.job] = job
@@ -221,7 +221,7 @@
             waiting=len(self._waiting),
             priority=rank.priority,
             worth=round(rank.worth, 2),
-            wanted_for_ms=_ms_until(answer_by, now),
+            deadline_ms=_ms_until(deadline, now),
         )
         self._release_steps(job)
         if not job.done:
@@ -742,7 +742,7 @@
         if now >= self._next_heartbeat_at:
             self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
             self._refuse_expired(now)
-            self._end_unawaited(now)
+            self._end_past_deadline(now)
             self._send_heartbeats(now)
         effects, self._effects = self._effects, []
         return effects
@@ -883,37 +883,37 @@
             )
             self._end_job(job, refused, now, keep_outcome=False)
 
-    def _end_unawaited(self, now: float) -> None:
+    def _end_past_deadline(self, now: float) -> None:
         """End jobs whose clients wait no longer.
 
         A client whose departure was not noticed may repeat its request at
         another entry. What is not stopped then would run twice.
         """
         for job in list(self._jobs.values()):
-            if now < job.answer_by:
+            if now < job.deadline:
                 continue
-            outcome: Outcome = self._unawaited(now)
+            outcome: Outcome = self._past_deadline(now)
             if job.started:
                 outcome = Failed(
                     FailureReason.DEADLINE_PASSED,
-                    NOT_AWAITED,
+                    DEADLINE_DETAIL,
                     Step.RUNNING,
                     self.name,
                     retry_at=now + AGENT_LOST_S,
                 )
-            self.counts["ended-unawaited"] += 1
+            self.counts["ended-at-deadline"] += 1
             self._end_job(job, outcome, now, keep_outcome=False)
 
-    def _refuse_unawaited(self, job_id: str, now: float) -> Refused:
+    def _refuse_past_deadline(self, job_id: str, now: float) -> Refused:
         """Refuse a request that was read after its client's time."""
         reason = RefusalReason.DEADLINE_PASSED.value
         self.counts[f"refused-{reason}"] += 1
         self._log("refused", job=job_id, reason=reason)
-        return self._unawaited(now)
+        return self._past_deadline(now)
 
-    def _unawaited(self, now: float) -> Refused:
+    def _past_deadline(self, now: float) -> Refused:
         return self._admission.refuse(
-            RefusalReason.DEADLINE_PASSED, NOT_AWAITED, now + FULL_RETRY_S
+            RefusalReason.DEADLINE_PASSED, DEADLINE_DETAIL, now + FULL_RETRY_S
         )
 
     def _send_heartbeats(self, now: float) -> None:
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -144,7 +144,7 @@
     :param observed: whether one of its runs has been used to learn from.
     :param rank: its rank while room is scarce; None for the highest.
     :param number: of its admission, unique within this process.
-    :param answer_by: Unix time in seconds at which the last of its clients
+    :param deadline: Unix time in seconds at which the last of its clients
         stops waiting; infinite if they have not said.
     """
 
@@ -160,7 +160,7 @@
     observed: bool = False
     rank: JobRank | None = None
     number: int = 0
-    answer_by: float = math.inf
+    deadline: float = math.inf
 
     @property
     def expires_at(self) -> float:
--- a/packages/briarford/tests/fleet/test_client_deadlines.py
+++ b/packages/briarford/tests/fleet/test_client_deadlines.py
@@ -40,11 +40,11 @@
     def submit_jobs(self) -> None:
         """Submit a job that its client repeats after its deadline."""
         world = self.world
-        answer_by = world.now + DEADLINE_S
+        deadline = world.now + DEADLINE_S
         job = request("j", count=2, work_s=WORK_S)
-        world.submit(self.entry, job, answer_by=answer_by)
-        world.at(answer_by, lambda: world.disconnected.add(("e0", "j")))
-        world.at(answer_by + REPEAT_DELAY_S, self.repeat_job)
+        world.submit(self.entry, job, deadline=deadline)
+        world.at(deadline, lambda: world.disconnected.add(("e0", "j")))
+        world.at(deadline + REPEAT_DELAY_S, self.repeat_job)
 
     def repeat_job(self) -> None:
         if not self.repeated:
@@ -83,7 +83,7 @@
     world = make_world(1)
     entry = world.entries["e0"]
     job = request("j", work_s=WORK_S, cpu=cpu)
-    world.submit(entry, job, answer_by=world.now + DEADLINE_S)
+    world.submit(entry, job, deadline=world.now + DEADLINE_S)
     world.run(2.0)
     outcome = world.outcomes["j"][1]
     assert (type(outcome), outcome.reason) == (kind, reason)
@@ -106,7 +106,7 @@
         world.submit(
             world.entries["e0"],
             request("j", work_s=0.8),
-            answer_by=world.now + deadline_s,
+            deadline=world.now + deadline_s,
         )
     world.run(6.0)
     assert isinstance(world.outcomes["j"][1], Completed) is completes
@@ -120,7 +120,7 @@
     world.submit(
         world.entries["e0"],
         request("j", work_s=0.1),
-        answer_by=world.now + left_s,
+        deadline=world.now + left_s,
     )
     world.run(2.0)
     assert len(world.history()) == runs
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -857,19 +857,19 @@
         req: JobRequest,
         route: Route = ROUTE,
         needs_known: bool = False,
-        answer_by: float = math.inf,
+        deadline: float = math.inf,
     ) -> Outcome | None:
         """Submit a job at an entry.
 
         :param needs_known: whether ``needs`` of the workers already has what
             the tasks of the job take.
-        :param answer_by: when its client stops waiting.
+        :param deadline: when its client stops waiting.
         :return: the refusal; None if the job was admitted or joined.
         """
         step = req.steps[0]
         for worker in () if needs_known else self.workers.values():
             worker.needs[req.job] = (step.cpu, step.expected_s)
-        outcome = entry.core.submit(req, route, self.now, answer_by)
+        outcome = entry.core.submit(req, route, self.now, deadline)
         if outcome is not None:
             self.refused[req.job] = outcome
             self.refused_at[req.job] = self.now
