--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -410,9 +410,14 @@
         self.workers.append(worker)
         return worker
 
-    def work_of(self, job: str) -> tuple[int, float]:
-        """Return the processor share and the seconds of a job's tasks."""
-        return self.work.get(job, (1000, 0.1))
+    def work_of(self, task: str) -> tuple[int, float]:
+        """Return the processor share and the seconds of a task.
+
+        ``work`` has them by job, or by job and step as in ``ID.STEP``.
+        """
+        job, _, step, _ = task.split(".")
+        default = self.work.get(job, (1000, 0.1))
+        return self.work.get(f"{job}.{step}", default)
 
     async def is_ready(self, name: str) -> bool:
         """Whether an entry answers the check of the load balancer with 200."""
--- a/review/lib3/worker3.py
+++ b/review/lib3/worker3.py
@@ -42,8 +42,7 @@
 class Worker:
     """Runs tasks under a lease; reports to its agent.
 
-    :param work: returns thousandths of a processor and seconds of a task, by
-        the id of its job.
+    :param work: returns thousandths of a processor and seconds of a task.
     :param log: called with each event.
     """
 
@@ -163,7 +162,7 @@
         self._extend(body["deadline_ms"])
         if run <= self.highest.get(task, 0) or present is not None:
             return self._answer(409, reason="old")
-        cpu, work_s = self._work(task.partition(".")[0])
+        cpu, work_s = self._work(task)
         if cpu + sum(r.cpu for r in self.runs.values()) > self.cpu:
             return self._answer(409, reason="room")
         now = self.clock()
