--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A request that was held up by a cut starts a job that runs elsewhere."""
+"""A request to a suspended entry starts a job that runs elsewhere by then."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 WORK = (3100, 0.4)
 PATIENCE_S = 1.5  # the time budget of payment-confirm
 RETRANSMIT_S = 1.3
-CUT_S = 2.6
+SUSPENDED_S = 2.6
 
 
 async def book(
@@ -47,7 +47,7 @@
         jobs = [new_job() for _ in range(CLIENTS)]
         fleet.work |= dict.fromkeys(jobs, WORK)
         if in_trouble():
-            fleet.cut("entry-1")
+            fleet.suspend("entry-1")
         t0 = time.monotonic() + 0.3
         calls = [
             asyncio.create_task(
@@ -55,9 +55,9 @@
             )
             for n, (c, j) in enumerate(zip(connections, jobs, strict=True))
         ]
-        await asyncio.sleep(CUT_S)
+        await asyncio.sleep(SUSPENDED_S)
         if in_trouble():
-            fleet.heal("entry-1")
+            fleet.wake("entry-1")
         await asyncio.gather(*calls)
         await asyncio.sleep(2.0)
         twice = fleet.overlaps()
--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -115,11 +115,11 @@
 
 
 class Proxy:
-    """The path to an address, which may be cut.
+    """The path to an address, which may be cut, or its machine suspended.
 
-    It carries connections as TCP does: what was sent into a cut on an open
+    It carries connections as TCP does: what was sent meanwhile on an open
     connection is sent again at growing intervals, and arrives in its order
-    with the first attempt after the cut. The end of the connection follows a
+    with the first attempt after that. The end of the connection follows a
     round trip later. A connection that is reset takes its bytes with it, and
     none is opened through a cut.
 
@@ -318,14 +318,29 @@
             self.public[entry] = front.address
 
     def cut(self, entry: str) -> None:
-        """Cut an entry off from clients, agents and the store."""
+        """Cut an entry off from all other machines of the system.
+
+        Its clients still reach it.
+        """
         self.log("cut-off", name=entry)
-        for proxy in self.paths[entry]:
+        for proxy in self.paths[entry][1:]:
             proxy.cut()
 
     def heal(self, entry: str) -> None:
         """End the cut."""
         self.log("cut-ended", name=entry)
+        for proxy in self.paths[entry][1:]:
+            proxy.heal()
+
+    def suspend(self, entry: str) -> None:
+        """Suspend the machine of an entry: nothing runs or arrives there."""
+        for proxy in self.paths[entry]:
+            proxy.cut()
+        self.signal(entry, signal.SIGSTOP)
+
+    def wake(self, entry: str) -> None:
+        """Wake the machine of an entry."""
+        self.signal(entry, signal.SIGCONT)
         for proxy in self.paths[entry]:
             proxy.heal()
 
