Serve a submission only once its client cannot have left unnoticed

What callers saw: a job ran twice at the same time. TCP holds what clients send on a path that is cut, or to a machine that is suspended. The client gives up and repeats its job elsewhere; what was held arrives afterwards, the end of its connection a round trip behind it. The entry read the request, counted Deadline-Ms from that late arrival, and placed its tasks in the same turn; the end of the connection stopped them some 40 ms later.

The cause is not the pause of the entry, which a cut does not have, but that a request proves nothing of when it was sent. A submission now waits for the end of its connection (0.03 s and two round trips after the last data) if its connection was silent for 0.8 s or more, since before a silence of its whole network. Others are served as before. Cancels and reads never wait; a cancel that waited for the start of the process is carried out although its client has left.

The arrival of a request that is read after a suspension is the earlier one, so that its client's time has gone on.

Clients that still wait when their request arrives 0.9 s late get 200.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -10,8 +10,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -22,6 +20,8 @@
 
 from briarford.intake import Account, ConnectionQuota, IntakeLimits, Phase
 from briarford_daemon.intake import Intake
+from briarford_daemon.submissions import ConnectionSubmissions, SubmissionWatch
+from briarford_daemon.tcp_state import TcpState, read_tcp_state
 
 __all__ = [
     "Handler",
@@ -40,12 +40,6 @@
 FIELD_BYTES = 160
 CALL_BYTES = 640
 RETRY_AFTER_S = 1
-MS_PER_S = 1000
-# The field tcpi_last_data_recv of struct tcp_info, in milliseconds.
-LAST_DATA_RECEIVED = struct.Struct("=52xI")
-# Turns of the event loop in which the end of a connection that follows its
-# request at once is read and reported.
-SETTLE_TURNS = 4
 
 JSON = "application/json"
 
@@ -79,7 +73,8 @@
     :param body: the whole body; dropped once the handler has returned.
     :param keep_alive: whether the client wants to go on using the connection.
     :param arrived_at: when its last bytes arrived at this machine, on the
-        clock of the event loop; the process may have read them later.
+        clock of the event loop; the process may have read them later, and the
+        machine may have been suspended since.
     """
 
     method: str = ""
@@ -143,9 +138,9 @@
     :param limits: on a request.
     :param intake: of the process.
     :param quota: of the listener.
-    :param may_have_ended: whether its client may have left while the
-        connection waited to be accepted. Its first request is served only
-        once the end of the connection would have shown.
+    :param watch: of the submissions to the listener. Those whose clients may
+        have left are served only once the ends of their connections would
+        have shown. None if all requests are served at once.
     """
 
     def __init__(
@@ -155,7 +150,7 @@
         limits: RequestLimits,
         intake: Intake,
         quota: ConnectionQuota,
-        may_have_ended: bool = False,
+        watch: SubmissionWatch | None = None,
     ) -> None:
         self._handler = handler
         self._connections = connections
@@ -178,7 +173,9 @@
         self._task: asyncio.Task[None] | None = None
         self._answering = False
         self._serving_soon = False
-        self._turns_to_settle = SETTLE_TURNS if may_have_ended else 0
+        self._watch = watch
+        self._submissions: ConnectionSubmissions | None = None
+        self._delay: asyncio.TimerHandle | None = None
         self._closing = False
         self._ignoring = False  # what is sent from now on is dropped
         self._reading_paused = False
@@ -208,10 +205,20 @@
             self.abort_unless_flushed()
             return
         self._connections.add(self)
+        if self._watch is not None:
+            peer = self._transport.get_extra_info("peername")
+            self._submissions = self._watch.open(
+                peer[0] if peer else "", self._tcp_state()
+            )
         self._parser = httptools.HttpRequestParser(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what the connection waits for."""
+        if self._submissions is not None:
+            path = self._ready[0].path if self._ready else ""
+            self._submissions.ended(path, self._answering)
+        if self._delay is not None:
+            self._delay.cancel()
         self._transport = None
         self._parser = None
         self._connections.discard(self)
@@ -227,6 +234,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the data that has been read."""
+        if self._submissions is not None:
+            self._submissions.received()
         if self._refusal is not None or self._ignoring:
             self._lingered_bytes += nbytes
             if self._lingered_bytes > self._common.max_linger_bytes:
@@ -311,22 +320,10 @@
         else:
             self._transport.resume_reading()
 
-    def _silent_s(self) -> float:
-        """Return for how many seconds no data has arrived.
-
-        0 if the kernel does not report it.
-        """
+    def _tcp_state(self) -> TcpState:
         if self._transport is None:
-            return 0.0
-        sock = self._transport.get_extra_info("socket")
-        try:
-            info = sock.getsockopt(
-                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size
-            )
-            (silent_ms,) = LAST_DATA_RECEIVED.unpack(info)
-        except (OSError, struct.error):
-            return 0.0
-        return float(silent_ms) / MS_PER_S
+            return TcpState()
+        return read_tcp_state(self._transport.get_extra_info("socket"))
 
     def _drop_input(self) -> None:
         """Drop all that was sent and is not being served."""
@@ -396,13 +393,18 @@
         self._reading = False
         self._silent_bytes = 0
         path = self._target.partition(b"?")[0].decode("latin-1")
+        method = self._parser.get_method().decode("latin-1")
+        state = self._tcp_state()
+        suspended_s = 0.0
+        if self._submissions is not None:
+            suspended_s = self._submissions.completed(method, state)
         call = HttpCall(
-            self._parser.get_method().decode("latin-1"),
+            method,
             path,
             self._headers,
             bytes(self._body),
             self._parser.should_keep_alive(),
-            self._now() - self._silent_s(),
+            self._now() - state.silent_s - suspended_s,
         )
         self._ahead_bytes += self._partial_bytes() + CALL_BYTES
         self._reset_request()
@@ -423,10 +425,7 @@
         Others that need no waiting are served in the next turns of the event
         loop, one in each, so that other connections have theirs.
         """
-        if self._turns_to_settle and self._can_serve():
-            if not self._serving_soon:
-                self._turns_to_settle -= 1
-                self._serve_soon()
+        if self._must_delay():
             self._update()
             return
         if self._can_serve():
@@ -448,6 +447,28 @@
             and self._transport is not None
         )
 
+    def _must_delay(self) -> bool:
+        """Whether the next request is not to be served yet, or not at all."""
+        if self._submissions is None or not self._can_serve():
+            return False
+        if self._delay is not None:
+            return True
+        call = self._ready[0]
+        delay_s = self._submissions.delay_s(call.method)
+        if delay_s is None:
+            if not self._submissions.has_left(call.path, self._tcp_state):
+                return False
+            self.abort()
+            return True
+        self._delay = asyncio.get_running_loop().call_later(
+            delay_s, self._end_delay
+        )
+        return True
+
+    def _end_delay(self) -> None:
+        self._delay = None
+        self._serve_next()
+
     def _serve_soon(self) -> None:
         if not self._serving_soon:
             self._serving_soon = True
--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -22,6 +22,7 @@
     RequestLimits,
 )
 from briarford_daemon.intake import Intake
+from briarford_daemon.submissions import SubmissionWatch
 
 __all__ = [
     "Handler",
@@ -35,9 +36,6 @@
 STOP_TIMEOUT_S = 1.0
 # What the kernel keeps for a connection that is not read.
 RECEIVE_BUFFER_BYTES = 16 * 1024
-# Within it the connections that waited for the start of the process have been
-# accepted.
-WAITED_S = 1.0
 
 # For a listener without limits of its own, as in a tool.
 _MACHINE = Machine(memory_mb=512, max_open_files=4096)
@@ -56,8 +54,9 @@
     :param connections: largest number of connections; that of clients by
         default.
     :param limits: on requests; those on requests of clients by default.
-    :param skip_departed: whether a request that waited for the start of the
-        process is left out if its client has closed the connection.
+    :param submissions: HTTP methods of requests that clients repeat elsewhere.
+        One that was held on its way, or waited for the start of the process,
+        is left out if its client has closed the connection.
     """
 
     def __init__(
@@ -68,9 +67,9 @@
         intake: Intake | None = None,
         connections: int = 0,
         limits: RequestLimits | None = None,
-        skip_departed: bool = False,
+        submissions: frozenset[str] = frozenset(),
     ) -> None:
-        self._skip_departed = skip_departed
+        self._submissions = submissions
         self._handler = handler
         self._host = host
         self._port = port
@@ -93,7 +92,9 @@
         """
         loop = asyncio.get_running_loop()
         quota = self._quota = self._intake.add_listener(self._limit)
-        waited_until = loop.time() + WAITED_S if self._skip_departed else 0.0
+        watch = None
+        if self._submissions:
+            watch = SubmissionWatch(self._submissions, loop.time)
         self._server = await create_server(
             loop,
             lambda: HttpConnection(
@@ -102,7 +103,7 @@
                 self._limits,
                 self._intake,
                 quota,
-                loop.time() < waited_until,
+                watch,
             ),
             self._host,
             self._port,
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -11,13 +11,15 @@
 
 import pytest
 
-from briarford.intake import IntakeLimits, Machine
+from briarford.intake import IntakeLimits, Machine, arrivals
 from briarford_daemon import intake as intake_module
 from briarford_daemon.early_sockets import listen_early
 from briarford_daemon.http_listener import HttpListener, HttpReply
 from briarford_daemon.intake import Intake
 
 LIMIT_S = 10.0
+SUBMISSIONS = frozenset({"POST"})
+NONE = frozenset()
 MACHINE = Machine(memory_mb=512, max_open_files=4096)
 
 
@@ -49,10 +51,10 @@
 
 
 @asynccontextmanager
-async def connected(machine=MACHINE, **limits):
+async def connected(machine=MACHINE, submissions=NONE, **limits):
     handler = Handler()
     intake = Intake(IntakeLimits(**limits), machine)
-    listener = HttpListener(handler, intake=intake)
+    listener = HttpListener(handler, intake=intake, submissions=submissions)
     await listener.start()
     host, port = listener.address.split(":")
     async with asyncio.timeout(LIMIT_S):
@@ -248,7 +250,9 @@
         if linger is not None:
             client.close()
     handler = Handler()
-    listener = HttpListener(handler, *address, skip_departed=skip_departed)
+    listener = HttpListener(
+        handler, *address, submissions=SUBMISSIONS if skip_departed else NONE
+    )
     await listener.start()
     await asyncio.sleep(0.2)
     await listener.stop()
@@ -278,3 +282,84 @@
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
             assert sock.getsockopt(socket.IPPROTO_TCP, option) == 1
+
+
+# What a client sends on a silent connection, whether it closes it at once,
+# and which requests are served.
+POST = request("POST", "/post", b"abc")
+HELD = {
+    "closes": ([POST], True, []),
+    "stays": ([POST], False, ["/post"]),
+    "sends two and closes": ([POST * 2], True, []),
+    "sends more than are read ahead and closes": ([POST * 40], True, []),
+    "sends two in turn and closes": ([POST, POST], True, []),
+    "sends it in part and closes": ([POST[:20], POST[20:]], True, []),
+    "cancels and closes": ([request("DELETE", "/del")], True, ["/del"]),
+    "cancels, submits and closes": (
+        [request("DELETE", "/del") + POST],
+        True,
+        ["/del"],
+    ),
+    "reads and closes": ([request("GET", "/get")], True, ["/get"]),
+}
+
+
+@pytest.fixture
+def short_silence(monkeypatch):
+    monkeypatch.setattr(arrivals, "SILENCE_S", 0.1)
+    monkeypatch.setattr(arrivals, "SETTLE_S", 0.2)
+
+
+@pytest.mark.usefixtures("short_silence")
+@pytest.mark.parametrize(
+    ("parts", "closes", "served"), HELD.values(), ids=HELD.keys()
+)
+async def test_a_held_submission_is_served_unless_its_client_has_left(
+    parts, closes, served
+):
+    """Guards against a run beside the repeat of a request that was held."""
+    async with connected(submissions=SUBMISSIONS) as (handler, _, reader, w):
+        await asyncio.sleep(0.15)
+        for part in parts:
+            w.write(part)
+            await asyncio.sleep(0.005)
+        if closes:
+            w.close()
+            await asyncio.sleep(0.5)
+        else:
+            assert (await read_answer(reader))[0] == 200
+        assert [c.path for c in handler.calls] == served
+
+
+@pytest.mark.usefixtures("short_silence")
+@pytest.mark.parametrize("in_use", ["this connection", "another connection"])
+async def test_a_submission_beside_others_is_served_at_once(in_use):
+    """Guards against a delay for each caller on a calm day."""
+    async with connected(submissions=SUBMISSIONS) as (handler, listener, r, w):
+        host, port = listener.address.split(":")
+        streams = await asyncio.open_connection(host, int(port))
+        reader, writer = (r, w) if in_use == "this connection" else streams
+        for _ in range(10):
+            writer.write(POST)
+            await read_answer(reader)
+            await asyncio.sleep(0.02)
+        w.write(POST)
+        await read_answer(r)
+        streams[1].close()
+        delayed = [c for c in listener._connections if c._delay is not None]
+        assert len(handler.calls) == 11
+        assert not delayed
+
+
+async def test_the_arrival_of_a_request_is_known_after_a_suspension():
+    """Guards against a client's time that stands still with the machine."""
+    async with connected(submissions=SUBMISSIONS) as (handler, listener, r, w):
+        (connection,) = listener._connections
+        watch = connection._watch
+        watch.boot_now = lambda: time.clock_gettime(time.CLOCK_BOOTTIME) + 5.0
+        sent_at = watch.now()
+        w.write(POST)
+        await read_answer(r)
+        assert handler.calls[0].arrived_at == pytest.approx(
+            sent_at - 5.0, abs=1.0
+        )
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -14,7 +14,8 @@
 import pytest
 
 from fleet.worker import Interval
-from soak import REPEAT_DELAY_S, Soak
+from held_path import HeldPath
+from soak import JOB, REPEAT_DELAY_S, Soak
 
 WORK_S = 4.0
 DEADLINE_S = 1.0
@@ -22,6 +23,14 @@
 JOBS = 20
 # An entry serves shortly before it logs that it has started.
 SERVED_EARLY_S = 0.02
+# A request that is held arrives while its repeat runs at the other entry.
+HELD_S = 2.6
+PATIENCE_S = 1.0
+REPEATED_AFTER_S = 1.0
+REPEAT_WORK_S = 2.0
+# The workers have room for all requests and their repeats at once.
+CPU = 200
+SMALL_JOB = {**JOB, "steps": [{**JOB["steps"][0], "cpu": CPU}]}
 
 
 @pytest.fixture
@@ -43,10 +52,10 @@
             await asyncio.sleep(0.1)
 
 
-def new_job(fleet: Soak, work_s: float) -> str:
+def new_job(fleet: Soak, work_s: float, cpu: int = 1000) -> str:
     job = f"{next(fleet._jobs):016x}"
     for worker in fleet.workers:
-        worker.core.needs[job] = (1000, work_s)
+        worker.core.needs[job] = (cpu, work_s)
     return job
 
 
@@ -143,3 +152,128 @@
     waited = {job for job, at in closed.items() if at < began - SERVED_EARLY_S}
     assert waited
     assert not [r for r in runs(fleet) if r.task.partition(".")[0] in waited]
+
+
+def encode(job: str, deadline_ms: int = 0) -> bytes:
+    body = json.dumps(SMALL_JOB)
+    deadline = f"Deadline-Ms: {deadline_ms}\r\n" if deadline_ms else ""
+    return (
+        f"POST /p/{job} HTTP/1.1\r\nHost: h.example\r\n{deadline}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+async def read_status(reader: asyncio.StreamReader) -> int:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length:")[2].split()[0])
+    await reader.readexactly(length)
+    return int(head.split()[1])
+
+
+class HeldClient:
+    """A client whose requests are held on their way to entry-0.
+
+    :param in_use: whether its connection has carried a request before.
+    :param deadline_ms: for how long it says that it waits; 0 if it does not.
+    :param requests: number of requests that it sends without an answer.
+    :param head_bytes: how much of its request arrives before the path is
+        held.
+    """
+
+    def __init__(
+        self,
+        in_use: bool = True,
+        deadline_ms: int = 1000,
+        requests: int = 1,
+        head_bytes: int = 0,
+    ) -> None:
+        self.in_use = in_use
+        self.deadline_ms = deadline_ms
+        self.requests = requests
+        self.head_bytes = head_bytes
+
+    async def connect(self, fleet: Soak, path: HeldPath) -> None:
+        self.fleet = fleet
+        host, _, port = path.address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        if self.in_use:
+            self.writer.write(encode(new_job(fleet, 0.05, CPU)))
+            assert await read_status(self.reader) == 200
+        self.jobs = [
+            new_job(fleet, REPEAT_WORK_S, CPU) for _ in range(self.requests)
+        ]
+        self.data = b"".join(encode(j, self.deadline_ms) for j in self.jobs)
+        self.writer.write(self.data[: self.head_bytes])
+
+    async def leave_and_repeat(self) -> list[int]:
+        """Send requests, leave, and repeat them at the other entry."""
+        self.writer.write(self.data[self.head_bytes :])
+        await asyncio.sleep(PATIENCE_S)
+        self.writer.close()
+        await asyncio.sleep(REPEATED_AFTER_S)
+        return await asyncio.gather(*map(self.repeat, self.jobs))
+
+    async def repeat(self, job: str) -> int:
+        """Send a request on a connection of its own to entry-1."""
+        address = self.fleet.settings["entry-1"]["http"]
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        with contextlib.closing(writer):
+            writer.write(encode(job, 10_000))
+            return await read_status(reader)
+
+    async def stay(self) -> list[int]:
+        """Send requests late, and wait for their answers."""
+        await asyncio.sleep(HELD_S - 0.9)
+        self.writer.write(self.data[self.head_bytes :])
+        return [await read_status(self.reader) for _ in self.jobs]
+
+
+LEAVING_CLIENTS = {
+    "in use": HeldClient(),
+    "in use, no deadline": HeldClient(deadline_ms=0),
+    "fresh": HeldClient(in_use=False),
+    "fresh, no deadline": HeldClient(in_use=False, deadline_ms=0),
+    "two requests": HeldClient(requests=2),
+    "sent in part": HeldClient(head_bytes=150),
+}
+STAYING_CLIENTS = {
+    "stays": HeldClient(deadline_ms=9000),
+    "stays, fresh, no deadline": HeldClient(in_use=False, deadline_ms=0),
+}
+
+
+@pytest.mark.parametrize("suspended", [False, True], ids=["cut", "suspended"])
+async def test_a_held_request_does_not_run_beside_its_repeat(fleet, suspended):
+    """Guards against a request that arrives late and starts its job again.
+
+    The path of the clients to entry-0 is cut, or its machine is suspended.
+    What clients have sent meanwhile arrives after they have repeated it at
+    entry-1, just before the end of its connection.
+    """
+    path = HeldPath(fleet.settings["entry-0"]["http"])
+    await path.start(fleet.host)
+    clients = [*LEAVING_CLIENTS.values(), *STAYING_CLIENTS.values()]
+    for client in clients:
+        await client.connect(fleet, path)
+    await asyncio.sleep(0.1)
+    path.hold()
+    if suspended:
+        fleet.signal("entry-0", signal.SIGSTOP)
+    calls = [
+        *(asyncio.create_task(c.leave_and_repeat()) for c in clients[:-2]),
+        *(asyncio.create_task(c.stay()) for c in clients[-2:]),
+    ]
+    await asyncio.sleep(HELD_S)
+    if suspended:
+        fleet.signal("entry-0", signal.SIGCONT)
+    path.release()
+    answers = await asyncio.gather(*calls)
+    await path.stop()
+    twice = [
+        (name, overlaps(fleet, job))
+        for name, client in (LEAVING_CLIENTS | STAYING_CLIENTS).items()
+        for job in client.jobs
+    ]
+    assert not [(name, found) for name, found in twice if found]
+    assert all(status == 200 for found in answers for status in found)
