Serve a submission only after the end of its connection would have been read

The connections of an entry were reset while a request lay unread in one of them, and its client repeated it at once at another entry. The entry read the request, placed the tasks in the same turn of its event loop, and learnt of the reset 6.5 ms later, behind 14 lost links and some 50 other clients.

A submission waits for four turns of the event loop now, as only those did that had waited for the start of the process. Then the end of its connection is read if it has arrived.

What is dropped is logged (submission-dropped).

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -215,8 +215,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what the connection waits for."""
         if self._submissions is not None:
-            path = self._ready[0].path if self._ready else ""
-            self._submissions.ended(path, self._answering)
+            call = self._ready[0] if self._ready else HttpCall()
+            self._submissions.ended(call.method, call.path, self._answering)
         if self._delay is not None:
             self._delay.cancel()
         self._transport = None
--- a/packages/briarford-daemon/src/briarford_daemon/submissions.py
+++ b/packages/briarford-daemon/src/briarford_daemon/submissions.py
@@ -20,12 +20,9 @@
 
 LOGGER = logging.getLogger("briarford.http")
 
-# Turns of the event loop in which the end of a connection that follows its
-# request at once is read and reported.
+# Turns of the event loop in which the end of a connection is read and reported
+# that has arrived already, behind its request.
 SETTLE_TURNS = 4
-# Within it the connections that waited for the start of the process have been
-# accepted.
-WAITED_S = 1.0
 MS_PER_S = 1000
 
 
@@ -42,14 +39,7 @@
     :param boot_now: seconds on a clock that counts suspensions.
     """
 
-    __slots__ = (
-        "_networks",
-        "_started_at",
-        "boot_now",
-        "methods",
-        "now",
-        "suspensions",
-    )
+    __slots__ = ("_networks", "boot_now", "methods", "now", "suspensions")
 
     def __init__(
         self,
@@ -62,7 +52,6 @@
         self.boot_now = boot_now
         self.suspensions = Suspensions(now(), boot_now())
         self._networks = ClientNetworks()
-        self._started_at = now()
 
     def open(self, host: str, state: TcpState) -> ConnectionSubmissions:
         """Watch a new connection.
@@ -74,8 +63,7 @@
         if state.retransmissions:  # the handshake was held up
             opened_at -= FIRST_RETRANSMISSION_S
         arrivals = self._networks.open(network_prefix(host), opened_at)
-        has_waited = self.now() < self._started_at + WAITED_S
-        return ConnectionSubmissions(self, arrivals, has_waited)
+        return ConnectionSubmissions(self, arrivals)
 
 
 class ConnectionSubmissions:
@@ -83,21 +71,16 @@
 
     :param watch: of the listener.
     :param arrivals: on the connection.
-    :param has_waited: whether the connection may have waited for the start of
-        the process, so that its client may have left before it.
     """
 
     __slots__ = ("_arrivals", "_turns", "_watch")
 
     def __init__(
-        self,
-        watch: SubmissionWatch,
-        arrivals: ConnectionArrivals,
-        has_waited: bool,
+        self, watch: SubmissionWatch, arrivals: ConnectionArrivals
     ) -> None:
         self._watch = watch
         self._arrivals = arrivals
-        self._turns = SETTLE_TURNS if has_waited else 0
+        self._turns = 0  # until the next submission may be served
 
     def received(self) -> None:
         """Record that data has been read."""
@@ -113,6 +96,7 @@
             arrival of the request.
         """
         if method in self._watch.methods:
+            self._turns = SETTLE_TURNS
             self._arrivals.submitted(
                 self._watch.boot_now(), state.round_trip_s
             )
@@ -150,15 +134,17 @@
         self._log("submission-delayed", path)
         return False
 
-    def ended(self, path: str, is_served: bool) -> None:
+    def ended(self, method: str, path: str, is_served: bool) -> None:
         """Record the end of the connection.
 
-        :param path: of the first request that was not served; empty if none.
+        :param method: of the first request that was not served; empty if all
+            were.
+        :param path: of that request.
         :param is_served: whether a request was being served.
         """
-        if path and self._arrivals.unresolved:
+        if method in self._watch.methods:
             self._log("submission-dropped", path)
-        if path or is_served:
+        if method or is_served:
             self._arrivals.ended(self._watch.boot_now())
 
     def _log(self, event: str, path: str) -> None:
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -351,6 +351,33 @@
         assert not delayed
 
 
+@pytest.mark.parametrize(
+    ("linger", "served"),
+    [(None, ["/post"]), (b"", []), (struct.pack("ii", 1, 0), [])],
+    ids=["stays", "closed", "reset"],
+)
+async def test_a_submission_is_not_served_if_its_connection_has_ended(
+    linger, served
+):
+    """Guards against a run for a client whose repeat is served elsewhere.
+
+    The request and the end of its connection arrive while the process is busy.
+    """
+    async with connected(submissions=SUBMISSIONS) as (handler, listener, *_):
+        host, port = listener.address.split(":")
+        client = socket.create_connection((host, int(port)))
+        await asyncio.sleep(0.05)
+        client.sendall(POST)
+        if linger:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if linger is not None:
+            client.close()
+        time.sleep(0.05)  # noqa: ASYNC251
+        await asyncio.sleep(0.1)
+        client.close()
+        assert [c.path for c in handler.calls] == served
+
+
 async def test_the_arrival_of_a_request_is_known_after_a_suspension():
     """Guards against a client's time that stands still with the machine."""
     async with connected(submissions=SUBMISSIONS) as (handler, listener, r, w):
