Place a job after a pause once the end of its connection would have arrived

What callers see: a job whose client has not said how long it waits runs beside its repeat elsewhere for seconds, if the client leaves while the machine of its entry is suspended. The sessions of the entry lapse and its runs end; after the wake the entry places the job again, but TCP delivers the end of the connection only when it sends it again, up to as long again as the pause.

Not reproduced with real processes.

Such a job is placed after as long again as the pause and 0.3 s, unless a repeat shows that its client is there. Jobs with a deadline are placed as before: their clients' time goes on in the pause.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -98,6 +98,9 @@
 # for CATCH_UP_S before any run is ordered.
 PAUSE_THRESHOLD_S = 0.6
 CATCH_UP_S = 0.15
+# If the machine was suspended, the end of a client's connection arrives when
+# TCP sends it again: up to as long again as the pause, and this more.
+RETRANSMISSION_S = 0.3
 FULL_RETRY_S = 1.0  # jobs end or are given up within a second
 KEEP_OUTCOME_S = 10.0  # clients repeat an answered request within seconds
 DEADLINE_DETAIL = "the deadline of its client has passed"
@@ -183,6 +186,7 @@
         open_job = self._jobs.get(request.job)
         if open_job is not None:
             open_job.deadline = max(open_job.deadline, deadline)
+            open_job.place_not_before = -math.inf  # this client is here
             return None
         if deadline <= now:
             return self._refuse_past_deadline(request.job, now)
@@ -758,6 +762,9 @@
         if self._last_turn_at and paused_s > PAUSE_THRESHOLD_S:
             self._log("paused", paused_ms=round(paused_s * 1000))
             self._place_not_before = now + CATCH_UP_S
+            for job in self._jobs.values():
+                if math.isinf(job.deadline):
+                    job.place_not_before = now + paused_s + RETRANSMISSION_S
         self._last_turn_at = now
 
     def _place_waiting(self, now: float) -> None:
@@ -777,6 +784,8 @@
                 break
             if self._unended_runs[task.name]:
                 continue  # an earlier run of the task may still be going on
+            if now < task.job.place_not_before:
+                continue
             if task.suspect and suspects >= MAX_SUSPECTS_TRIED:
                 continue
             service = task.job.route.service
--- a/packages/briarford/src/briarford/requests/job.py
+++ b/packages/briarford/src/briarford/requests/job.py
@@ -146,6 +146,8 @@
     :param number: of its admission, unique within this process.
     :param deadline: Unix time in seconds at which the last of its clients
         stops waiting; infinite if they have not said.
+    :param place_not_before: Unix time in seconds until which its client may
+        have left without a sign.
     """
 
     request: JobRequest
@@ -161,6 +163,7 @@
     rank: JobRank | None = None
     number: int = 0
     deadline: float = math.inf
+    place_not_before: float = -math.inf
 
     @property
     def expires_at(self) -> float:
--- a/packages/briarford/tests/fleet/test_client_deadlines.py
+++ b/packages/briarford/tests/fleet/test_client_deadlines.py
@@ -139,3 +139,52 @@
     ended = [e.number for e in core.turn(NOW) if isinstance(e, JobEnded)]
     assert ended == [first]
     assert second not in (0, first)
+
+
+PAUSE_S = 2.0
+SILENT_CLIENT_WORK_S = 3.0
+
+
+@pytest.mark.parametrize("left_after_s", [0.1, 0.7, 1.4])
+def test_a_job_waits_after_a_pause_for_the_end_of_its_connection(left_after_s):
+    """Guards against a start beside the repeat of a client that has left.
+
+    It has not said how long it waits. It leaves while its entry is paused, and
+    TCP delivers the end of the connection as long again after the pause.
+    """
+    world = make_world()
+    entry, other = world.entries["e0"], world.entries["e1"]
+    job = request("j", count=2, work_s=SILENT_CLIENT_WORK_S)
+    world.submit(entry, job)
+    world.freeze(entry, PAUSE_S)
+    left_s = PAUSE_S - left_after_s
+    world.after(
+        left_after_s + REPEAT_DELAY_S, lambda: world.submit(other, job)
+    )
+    world.after(PAUSE_S + left_s, lambda: world.client_leaves(entry, "j"))
+    world.run(12.0)
+    assert not world.overlaps()
+
+
+def test_a_job_whose_client_waits_goes_on_after_a_pause():
+    world = make_world()
+    entry = world.entries["e0"]
+    world.submit(entry, request("j", work_s=SILENT_CLIENT_WORK_S))
+    world.freeze(entry, PAUSE_S)
+    world.run(12.0)
+    assert isinstance(world.outcomes["j"][1], Completed)
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_a_repeat_shows_that_a_client_waits_after_a_pause(is_repeated):
+    world = make_world()
+    entry = world.entries["e0"]
+    job = request("j", work_s=SILENT_CLIENT_WORK_S)
+    world.submit(entry, job)
+    world.freeze(entry, PAUSE_S)
+    world.run(PAUSE_S + 0.5)
+    if is_repeated:
+        world.submit(entry, job)
+    world.run(1.5)
+    runs = [r for r in world.history() if r.start > world.now - 1.5]
+    assert bool(runs) is is_repeated
