--- a/packages/briarford/src/briarford/intake/arrivals.py
+++ b/packages/briarford/src/briarford/intake/arrivals.py
@@ -22,6 +22,11 @@
 # A request that was held for less is not repeated before its run has been
 # stopped: clients repeat 0.9 s after the end of a connection at the earliest.
 SILENCE_S = 0.8
+# A silence shows a cut only if it is twice as long as the network's usual ones.
+# These count up to this length: clients that wait for their deadline repeat a
+# request when it has been held for longer than twice as much.
+MAX_USUAL_GAP_S = 1.0
+GAP_DECAY = 0.95  # per submission
 # The end of a connection is sent when its last request is acknowledged, so it
 # follows after a round trip to the client.
 SETTLE_S = 0.03
@@ -45,10 +50,17 @@
     :param opened_at: when the first connection from it was opened.
     """
 
-    __slots__ = ("__weakref__", "_held_until", "_resumed_at", "_submitted_at")
+    __slots__ = (
+        "__weakref__",
+        "_held_until",
+        "_resumed_at",
+        "_submitted_at",
+        "_usual_gap_s",
+    )
 
     def __init__(self, opened_at: float) -> None:
         self._submitted_at = opened_at
+        self._usual_gap_s = 0.0  # the longest one, decaying
         self._resumed_at = -math.inf
         self._held_until = -math.inf
 
@@ -59,8 +71,11 @@
         """
         silent_s = now - self._submitted_at
         self._submitted_at = now
-        if silent_s >= SILENCE_S:
+        if silent_s >= max(SILENCE_S, 2 * self._usual_gap_s):
             self.resumed(silent_s, now)
+        self._usual_gap_s = max(
+            min(silent_s, MAX_USUAL_GAP_S), GAP_DECAY * self._usual_gap_s
+        )
 
     def resumed(self, silent_s: float, now: float) -> None:
         """Record that a silence has ended, which may have held requests."""
--- a/packages/briarford/tests/test_arrivals.py
+++ b/packages/briarford/tests/test_arrivals.py
@@ -62,6 +62,23 @@
         ],
         0,
     ),
+    "a connection that is silent as usual": (
+        [*OPEN, *steady("a", 0.1, 9.0, 1.0), (9.1, "a", "submit")],
+        0,
+    ),
+    "a connection that is silent for longer than usual": (
+        [*OPEN, *steady("a", 0.1, 9.0, 1.0), (10.2, "a", "submit")],
+        SETTLE_MS,
+    ),
+    "a connection that is silent as before a while": (
+        [
+            *OPEN,
+            *steady("a", 0.1, 9.0, 1.0),
+            *steady("a", 9.1, 19.0, 0.1),
+            (20.0, "a", "submit"),
+        ],
+        SETTLE_MS,
+    ),
     "while others of another network are in use": (
         [
             *OPEN,
