--- a/packages/briarford/src/briarford/intake/arrivals.py
+++ b/packages/briarford/src/briarford/intake/arrivals.py
@@ -22,9 +22,9 @@
 # A request that was held for less is not repeated before its run has been
 # stopped: clients repeat 0.9 s after the end of a connection at the earliest.
 SILENCE_S = 0.8
-# A silence shows a cut only if it is twice as long as the network's usual ones.
-# These count up to this length: clients that wait for their deadline repeat a
-# request when it has been held for longer than twice as much.
+# A silence shows a cut if it is twice as long as is usual for its network.
+# Usual ones count up to this length: clients that wait for their deadline
+# repeat a request when it has been held for longer than twice as much.
 MAX_USUAL_GAP_S = 1.0
 GAP_DECAY = 0.95  # per submission
 # The end of a connection is sent when its last request is acknowledged, so it
