--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -37,6 +37,7 @@
 
 from crowds import KINDS, Crowd, Meter, raise_descriptor_limit
 from fleet.worker import Interval
+from held_path import HeldPath
 from stand_in import StoreStandIn
 from test_processes import CONFIG, WorkerServer
 
@@ -57,6 +58,7 @@
 # Short enough that jobs outlast it.
 SHORT_PATIENCE_S = 0.6
 HERD_SHARE = 0.6
+MAX_CUT_S = 3.5
 
 Action = Callable[["Soak"], Awaitable[None]]
 ACTIONS: list[Action] = []
@@ -181,6 +183,8 @@
         self.agents = [f"agent-{n}" for n in range(agents)]
         self.settings: dict[str, dict[str, Any]] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        # Of the clients to each entry, but for those that leave unnoticed.
+        self.paths: dict[str, HeldPath] = {}
         self.workers: list[SoakWorker] = []
         self.broken: list[str] = []
         self.refused: list[str] = []
@@ -217,6 +221,9 @@
                 "max_open_files": MAX_OPEN_FILES,
             }
             self._tasks.append(asyncio.create_task(self._supervise(name)))
+        for name in self.entries:
+            self.paths[name] = HeldPath(self.settings[name]["http"])
+            await self.paths[name].start(self.host)
         for number, name in enumerate(self.agents):
             control = self.settings[name]["http"]
             worker = SoakWorker(number, self.host, control)
@@ -305,7 +312,7 @@
 
     async def submit(self, entry: str, job: str, patience_s: float) -> int:
         """Submit a job; 0 if its connection broke or its client left."""
-        url = f"http://{self.settings[entry]['http']}/p/{job}"
+        url = f"http://{self.paths[entry].address}/p/{job}"
         deadline = f"{patience_s * 1000:.0f}"
         try:
             async with self.http.post(
@@ -438,6 +445,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for writer in self._left_open:
             writer.close()
+        for path in self.paths.values():
+            await path.stop()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
@@ -482,6 +491,26 @@
     soak.signal(name, signal.SIGCONT)
 
 
+@action
+async def cut_clients(soak: Soak) -> None:
+    """Cut the path of the clients to an entry, which holds what they send."""
+    path = soak.paths[soak.rng.choice(soak.entries)]
+    path.hold()
+    await asyncio.sleep(soak.rng.uniform(0.3, MAX_CUT_S))
+    path.release()
+
+
+@action
+async def suspend_entry(soak: Soak) -> None:
+    """Suspend the machine of an entry, to which clients go on to send."""
+    name = soak.rng.choice(soak.entries)
+    soak.signal(name, signal.SIGSTOP)
+    soak.paths[name].hold()
+    await asyncio.sleep(soak.rng.uniform(0.3, MAX_CUT_S))
+    soak.signal(name, signal.SIGCONT)
+    soak.paths[name].release()
+
+
 @action
 async def restart_worker(soak: Soak) -> None:
     """Crash a worker; it, or another one in its place, boots soon."""
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -14,7 +14,6 @@
 import pytest
 
 from fleet.worker import Interval
-from held_path import HeldPath
 from soak import JOB, REPEAT_DELAY_S, Soak
 
 WORK_S = 4.0
@@ -192,9 +191,9 @@
         self.requests = requests
         self.head_bytes = head_bytes
 
-    async def connect(self, fleet: Soak, path: HeldPath) -> None:
+    async def connect(self, fleet: Soak) -> None:
         self.fleet = fleet
-        host, _, port = path.address.rpartition(":")
+        host, _, port = fleet.paths["entry-0"].address.rpartition(":")
         self.reader, self.writer = await asyncio.open_connection(host, port)
         if self.in_use:
             self.writer.write(encode(new_job(fleet, 0.05, CPU)))
@@ -251,11 +250,10 @@
     What clients have sent meanwhile arrives after they have repeated it at
     entry-1, just before the end of its connection.
     """
-    path = HeldPath(fleet.settings["entry-0"]["http"])
-    await path.start(fleet.host)
+    path = fleet.paths["entry-0"]
     clients = [*LEAVING_CLIENTS.values(), *STAYING_CLIENTS.values()]
     for client in clients:
-        await client.connect(fleet, path)
+        await client.connect(fleet)
     await asyncio.sleep(0.1)
     path.hold()
     if suspended:
@@ -269,7 +267,6 @@
         fleet.signal("entry-0", signal.SIGCONT)
     path.release()
     answers = await asyncio.gather(*calls)
-    await path.stop()
     twice = [
         (name, overlaps(fleet, job))
         for name, client in (LEAVING_CLIENTS | STAYING_CLIENTS).items()
