Wait 50 ms for the end of a connection that may have been held

30 ms left little beside the 2 to 5 ms of a quiet machine where balancers or proxies that share their processor pass the end on.

--- a/packages/briarford/src/briarford/intake/arrivals.py
+++ b/packages/briarford/src/briarford/intake/arrivals.py
@@ -28,8 +28,9 @@
 MAX_USUAL_GAP_S = 1.0
 GAP_DECAY = 0.95  # per submission
 # The end of a connection is sent when its last request is acknowledged, so it
-# follows after a round trip to the client.
-SETTLE_S = 0.03
+# follows after a round trip to the client, and whatever processes on the way
+# take to pass it on.
+SETTLE_S = 0.05
 MAX_SETTLE_S = 0.25
 # First retransmission while the round trip is not known (RFC 6298).
 FIRST_RETRANSMISSION_S = 1.0
