--- a/packages/briarford-daemon/src/briarford_daemon/submissions.py
+++ b/packages/briarford-daemon/src/briarford_daemon/submissions.py
@@ -148,5 +148,6 @@
             self._arrivals.ended(self._watch.boot_now())
 
     def _log(self, event: str, path: str) -> None:
+        job = path.rpartition("/")[2]  # as in the lines of the core
         silent_ms = round(self._arrivals.silent_s * MS_PER_S)
-        LOGGER.info(event, extra={"path": path, "silent_ms": silent_ms})
+        LOGGER.info(event, extra={"job": job, "silent_ms": silent_ms})
--- a/packages/briarford-daemon/tests/test_events_page.py
+++ b/packages/briarford-daemon/tests/test_events_page.py
@@ -31,6 +31,7 @@
             "frames.py",
             "http_connection.py",
             "intake.py",
+            "submissions.py",
         )
     ),
 ]
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import socket
 import struct
@@ -315,9 +316,10 @@
     ("parts", "closes", "served"), HELD.values(), ids=HELD.keys()
 )
 async def test_a_held_submission_is_served_unless_its_client_has_left(
-    parts, closes, served
+    caplog, parts, closes, served
 ):
     """Guards against a run beside the repeat of a request that was held."""
+    caplog.set_level(logging.INFO, "briarford.http")
     async with connected(submissions=SUBMISSIONS) as (handler, _, reader, w):
         await asyncio.sleep(0.15)
         for part in parts:
@@ -329,6 +331,10 @@
         else:
             assert (await read_answer(reader))[0] == 200
         assert [c.path for c in handler.calls] == served
+        events = {r.msg for r in caplog.records if r.job == "post"}
+        submitted = any(b"POST" in part for part in parts)
+        delayed = "submission-dropped" if closes else "submission-delayed"
+        assert events == ({delayed} if submitted else set())
 
 
 @pytest.mark.usefixtures("short_silence")
