Do not meter the processes of the tests of departures

At a load of 23 to 30 the test of held requests failed in 9 of 15 runs of the file: the repeats at the healthy entry were refused for workers-lost, as the stand-in workers, in the process of the test, answered too late (13 to 32 worker-call-lost lines a run). The meter of the soak reads the table of all sockets of the machine for each process there. No test of this file checks the meter; the soak keeps it.

The test names the clients that were not served now.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -168,11 +168,19 @@
     :param folder: for settings and logs.
     :param entries: number of entries.
     :param agents: number of agents, each with a worker.
+    :param is_metered: whether memory and descriptors are checked. To read them
+        takes time from the workers, which share this process.
     """
 
     def __init__(
-        self, seed: int, folder: Path, entries: int, agents: int
+        self,
+        seed: int,
+        folder: Path,
+        entries: int,
+        agents: int,
+        is_metered: bool = True,
     ) -> None:
+        self._is_metered = is_metered
         self.rng = random.Random(seed)
         # No outgoing connection takes a port of an address of its own.
         pid = os.getpid()
@@ -263,10 +271,13 @@
             limit = (MAX_OPEN_FILES, MAX_OPEN_FILES)
             with contextlib.suppress(ProcessLookupError):
                 resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limit)
-            addresses = [cfg["http"], cfg["health"]]
-            async with Meter(process.pid, addresses) as meter:
+            if self._is_metered:
+                addresses = [cfg["http"], cfg["health"]]
+                async with Meter(process.pid, addresses) as meter:
+                    status = await process.wait()
+                self._check_meter(name, meter)
+            else:
                 status = await process.wait()
-            self._check_meter(name, meter)
             if process.pid not in self._ended_by_us:
                 self.broken.append(f"LOST: {name} ended, status {status}")
             await asyncio.sleep(0.3)
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -34,7 +34,7 @@
 
 @pytest.fixture
 async def fleet(tmp_path):
-    fleet = Soak(1, tmp_path, entries=2, agents=2)
+    fleet = Soak(1, tmp_path, entries=2, agents=2, is_metered=False)
     await fleet.start()
     for entry in fleet.entries:
         await serve(fleet, entry)
@@ -273,4 +273,10 @@
         for job in client.jobs
     ]
     assert not [(name, found) for name, found in twice if found]
-    assert all(status == 200 for found in answers for status in found)
+    names = [*LEAVING_CLIENTS, *STAYING_CLIENTS]
+    refused = [
+        (name, found)
+        for name, found in zip(names, answers, strict=True)
+        if set(found) != {200}
+    ]
+    assert not refused
