Let no submission that waits for the end of its connection give way

While a whole request waits, up to 50 ms, its connection counted as one with an unfinished request, which may be ended for others; an ordinary caller is to be served while the budget of connections is full. Found by reading the change beside docs/design/clients.md; red in test_a_submission_that_waits_gives_no_way before. Not seen with processes: the crowds of test_crowds passed before and after.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -607,6 +607,9 @@
             return Phase.UNREAD
         if self._refusal is not None or self._ignoring:
             return Phase.LINGERING
+        more = len(self._ready) > 1 or self._unparsed or self._reading
+        if self._delay is not None and not more:
+            return Phase.SERVED  # its one request is whole, and waits
         if ahead or self._silent_bytes:
             return Phase.UNFINISHED
         return Phase.IDLE
--- a/packages/briarford-daemon/tests/test_http_listener.py
+++ b/packages/briarford-daemon/tests/test_http_listener.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from briarford.intake import IntakeLimits, Machine, arrivals
+from briarford.intake import IntakeLimits, Machine, Phase, arrivals
 from briarford_daemon import intake as intake_module
 from briarford_daemon.early_sockets import listen_early
 from briarford_daemon.http_listener import HttpListener, HttpReply
@@ -357,6 +357,24 @@
         assert not delayed
 
 
+@pytest.mark.usefixtures("short_silence")
+@pytest.mark.parametrize(
+    ("sent", "phase"),
+    [(POST, Phase.SERVED), (POST * 2, Phase.UNFINISHED)],
+    ids=["one", "one ahead"],
+)
+async def test_a_submission_that_waits_gives_no_way(sent, phase):
+    """Guards against a refusal of an ordinary caller beside a crowd."""
+    async with connected(submissions=SUBMISSIONS) as (_, listener, reader, w):
+        await asyncio.sleep(0.15)
+        w.write(sent)
+        (connection,) = listener._connections
+        await asyncio.sleep(0.05)
+        assert connection._delay is not None
+        assert connection._account.phase is phase
+        assert (await read_answer(reader))[0] == 200
+
+
 @pytest.mark.parametrize(
     ("linger", "served"),
     [(None, ["/post"]), (b"", []), (struct.pack("ii", 1, 0), [])],
