Read the steady clock itself to notice suspensions; names and comments

Read as a newcomer: the clock of uvloop is that of the start of a turn, so a long turn looked like a suspension of its length, and the deadlines of the requests read in it were shortened by as much (worked out; over 0.1 s of reads in one turn are needed). A submission that follows no silence forgets the one before, so that its end is no sign of held requests: test_only_the_latest_submission_counts_as_held. The query that also decides is called resolve now.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -456,7 +456,7 @@
         call = self._ready[0]
         delay_s = self._submissions.delay_s(call.method)
         if delay_s is None:
-            if not self._submissions.has_left(call.path, self._tcp_state):
+            if not self._submissions.resolve(call.path, self._tcp_state):
                 return False
             self.abort()
             return True
--- a/packages/briarford-daemon/src/briarford_daemon/http_listener.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_listener.py
@@ -94,7 +94,7 @@
         quota = self._quota = self._intake.add_listener(self._limit)
         watch = None
         if self._submissions:
-            watch = SubmissionWatch(self._submissions, loop.time)
+            watch = SubmissionWatch(self._submissions)
         self._server = await create_server(
             loop,
             lambda: HttpConnection(
--- a/packages/briarford-daemon/src/briarford_daemon/submissions.py
+++ b/packages/briarford-daemon/src/briarford_daemon/submissions.py
@@ -11,10 +11,7 @@
 
 from briarford.intake import ClientNetworks, ConnectionArrivals, Suspensions
 from briarford.intake.arrivals import FIRST_RETRANSMISSION_S
-from briarford_daemon.tcp_state import (
-    TcpState,
-    network_prefix,
-)
+from briarford_daemon.tcp_state import TcpState, network_prefix
 
 __all__ = ["ConnectionSubmissions", "SubmissionWatch"]
 
@@ -35,7 +32,8 @@
 
     :param methods: HTTP methods of submissions, which a client repeats
         elsewhere if it gets no answer.
-    :param now: clock of the event loop, in seconds.
+    :param now: seconds on the steady clock. That of the event loop may stand
+        still for one of its turns, which is no suspension.
     :param boot_now: seconds on a clock that counts suspensions.
     """
 
@@ -44,7 +42,7 @@
     def __init__(
         self,
         methods: frozenset[str],
-        now: Callable[[], float],
+        now: Callable[[], float] = time.monotonic,
         boot_now: Callable[[], float] = _boot_time,
     ) -> None:
         self.methods = methods
@@ -100,7 +98,7 @@
             self._arrivals.submitted(
                 self._watch.boot_now(), state.round_trip_s
             )
-        return self._watch.suspensions.before(
+        return self._watch.suspensions.since(
             self._watch.now() - state.silent_s
         )
 
@@ -119,11 +117,15 @@
         left_s = self._arrivals.settled_at - self._watch.boot_now()
         return left_s if left_s > 0.0 else None
 
-    def has_left(self, path: str, read_state: Callable[[], TcpState]) -> bool:
-        """Whether the client has left before its submission is served.
+    def resolve(self, path: str, read_state: Callable[[], TcpState]) -> bool:
+        """Decide on a submission that may have been held, after its delay.
 
-        Only if the submission may have been held, for others would show by
-        the end of their connection.
+        The end of its connection may not have been read, as reading pauses
+        while many requests are ahead.
+
+        :param path: of the submission.
+        :param read_state: reads the state of the connection.
+        :return: whether its client has left.
         """
         if not self._arrivals.unresolved:
             return False
--- a/packages/briarford/src/briarford/intake/arrivals.py
+++ b/packages/briarford/src/briarford/intake/arrivals.py
@@ -34,9 +34,9 @@
 MAX_SETTLE_S = 0.25
 # First retransmission while the round trip is not known (RFC 6298).
 FIRST_RETRANSMISSION_S = 1.0
-# The longest of which clients have not given up the connection, too.
+# Silences may last for hours without a cut.
 MAX_HELD_S = 30.0
-# Grain of the times that the kernel reports.
+# Resolution of the times that the kernel reports.
 TICK_S = 0.01
 MIN_SUSPENSION_S = 0.1
 
@@ -167,6 +167,8 @@
         self._network.submitted(now)
         since, self._silent_since = self._silent_since, None
         if since is None:
+            if not self.unresolved:
+                self.silent_s = 0.0
             return
         self.silent_s = now - since
         if self._network.may_have_held(since, now):
@@ -212,7 +214,7 @@
             self._length_s = length_s
             self._woke_at = steady
 
-    def before(self, arrived_at: float) -> float:
+    def since(self, arrived_at: float) -> float:
         """Return how long the machine was suspended after an arrival.
 
         What arrived just before the first read after a suspension may have
--- a/packages/briarford/tests/test_arrivals.py
+++ b/packages/briarford/tests/test_arrivals.py
@@ -184,6 +184,16 @@
     assert conn.settled_at == 3.0 + MAX_SETTLE_S
 
 
+def test_only_the_latest_submission_counts_as_held():
+    """Guards against a busy client whose end is taken for a held one."""
+    conn = ClientNetworks().open(OURS, 0.0)
+    for now in (3.0, 3.2):
+        conn.received(now)
+        conn.submitted(now)
+        conn.unresolved = False  # it has been served
+    assert conn.silent_s == 0.0
+
+
 def test_a_submission_waits_for_two_round_trips():
     conn = ClientNetworks().open(OURS, 0.0)
     conn.received(3.0)
@@ -217,4 +227,4 @@
     suspensions = Suspensions(*reads[0])
     for steady_at, boot_at in reads[1:]:
         suspensions.observe(steady_at, boot_at)
-    assert suspensions.before(arrived_at) == pytest.approx(suspended_s)
+    assert suspensions.since(arrived_at) == pytest.approx(suspended_s)
