--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -11,14 +11,14 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from http import HTTPStatus
 from typing import cast
 
 import httptools
-import msgspec
 
 from briarford.intake import Account, ConnectionQuota, IntakeLimits, Phase
+from briarford_daemon.http_messages import Handler, HttpCall, HttpReply
 from briarford_daemon.intake import Intake
 from briarford_daemon.submissions import ConnectionSubmissions, SubmissionWatch
 from briarford_daemon.tcp_state import TcpState, read_tcp_state
@@ -41,52 +41,10 @@
 CALL_BYTES = 640
 RETRY_AFTER_S = 1
 
-JSON = "application/json"
-
 # The data of a read is parsed before the next one, on any connection.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
-class HttpReply(msgspec.Struct, frozen=True):
-    """An answer to a request.
-
-    :param status: HTTP status.
-    :param body: body of the answer.
-    :param content_type: media type of the body.
-    :param headers: further header lines, as names and values.
-    :param close: whether the connection ends after the answer.
-    """
-
-    status: int
-    body: bytes = b""
-    content_type: str = JSON
-    headers: tuple[tuple[str, str], ...] = ()
-    close: bool = False
-
-
-class HttpCall(msgspec.Struct):
-    """A request.
-
-    :param method: HTTP method.
-    :param path: path of the target, without the query.
-    :param headers: values by lower-case name.
-    :param body: the whole body; dropped once the handler has returned.
-    :param keep_alive: whether the client wants to go on using the connection.
-    :param arrived_at: when its last bytes arrived at this machine, on the
-        clock of the event loop; the process may have read them later, and the
-        machine may have been suspended since.
-    """
-
-    method: str = ""
-    path: str = ""
-    headers: dict[str, str] = msgspec.field(default_factory=dict)
-    body: bytes = b""
-    keep_alive: bool = True
-    arrived_at: float = 0.0
-
-
-Handler = Callable[[HttpCall], HttpReply | Awaitable[HttpReply]]
-
 _UNREADABLE = b'{"error":"the request cannot be read"}'
 _OVERLOADED = HttpReply(
     HTTPStatus.SERVICE_UNAVAILABLE,
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -229,16 +229,16 @@
 
 
 LEAVING_CLIENTS = {
-    "in use": HeldClient(),
-    "in use, no deadline": HeldClient(deadline_ms=0),
-    "fresh": HeldClient(in_use=False),
-    "fresh, no deadline": HeldClient(in_use=False, deadline_ms=0),
-    "two requests": HeldClient(requests=2),
-    "sent in part": HeldClient(head_bytes=150),
+    "in use": {},
+    "in use, no deadline": {"deadline_ms": 0},
+    "fresh": {"in_use": False},
+    "fresh, no deadline": {"in_use": False, "deadline_ms": 0},
+    "two requests": {"requests": 2},
+    "sent in part": {"head_bytes": 150},
 }
 STAYING_CLIENTS = {
-    "stays": HeldClient(deadline_ms=9000),
-    "stays, fresh, no deadline": HeldClient(in_use=False, deadline_ms=0),
+    "stays": {"deadline_ms": 9000},
+    "stays, fresh, no deadline": {"in_use": False, "deadline_ms": 0},
 }
 
 
@@ -251,32 +251,31 @@
     entry-1, just before the end of its connection.
     """
     path = fleet.paths["entry-0"]
-    clients = [*LEAVING_CLIENTS.values(), *STAYING_CLIENTS.values()]
-    for client in clients:
+    kinds = LEAVING_CLIENTS | STAYING_CLIENTS
+    clients = {name: HeldClient(**kind) for name, kind in kinds.items()}
+    for client in clients.values():
         await client.connect(fleet)
     await asyncio.sleep(0.1)
     path.hold()
     if suspended:
         fleet.signal("entry-0", signal.SIGSTOP)
     calls = [
-        *(asyncio.create_task(c.leave_and_repeat()) for c in clients[:-2]),
-        *(asyncio.create_task(c.stay()) for c in clients[-2:]),
+        asyncio.create_task(
+            c.stay() if name in STAYING_CLIENTS else c.leave_and_repeat()
+        )
+        for name, c in clients.items()
     ]
     await asyncio.sleep(HELD_S)
     if suspended:
         fleet.signal("entry-0", signal.SIGCONT)
     path.release()
-    answers = await asyncio.gather(*calls)
+    answers = dict(zip(clients, await asyncio.gather(*calls), strict=True))
     twice = [
         (name, overlaps(fleet, job))
-        for name, client in (LEAVING_CLIENTS | STAYING_CLIENTS).items()
+        for name, client in clients.items()
         for job in client.jobs
     ]
     assert not [(name, found) for name, found in twice if found]
-    names = [*LEAVING_CLIENTS, *STAYING_CLIENTS]
-    refused = [
-        (name, found)
-        for name, found in zip(names, answers, strict=True)
-        if set(found) != {200}
-    ]
-    assert not refused
+    assert not {
+        n: found for n, found in answers.items() if set(found) != {200}
+    }
