--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -173,7 +173,7 @@
     """A client whose requests are held on their way to entry-0.
 
     :param in_use: whether its connection has carried a request before.
-    :param deadline_ms: for how long it says that it waits; 0 if it does not.
+    :param deadline_ms: value of its ``Deadline-Ms``; 0 if it sends none.
     :param requests: number of requests that it sends without an answer.
     :param head_bytes: how much of its request arrives before the path is
         held.
