Log when a lost order to start a run was written

The record could not tell an order that was sent late from one that was carried out late: a lost call named neither its run nor the moment at which its request was written.

The HTTP client calls a function before it writes a request, and worker-call-lost of a start has task, run and what was left of the time of the call at that moment.

--- a/packages/briarford-daemon/src/briarford_daemon/http_client.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_client.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -156,6 +156,7 @@
         target: str,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         """Make one call; the caller limits its time.
 
@@ -165,6 +166,7 @@
         :param address: host and port of the peer.
         :param method: HTTP method.
         :param target: path with query.
+        :param before_send: called each time before the request is written.
         :raises NotConnectedError: if no connection could be opened; nothing
             has been sent, except if a GET or DELETE was to be sent again.
         :raises CallLostError: if the peer may have received the request.
@@ -180,7 +182,11 @@
             self._in_use[address] += 1
             try:
                 return await self._call_on(
-                    idle_conn, address, request, method in IDEMPOTENT_METHODS
+                    idle_conn,
+                    address,
+                    request,
+                    method in IDEMPOTENT_METHODS,
+                    before_send,
                 )
             finally:
                 self._in_use[address] -= 1
@@ -208,8 +214,11 @@
         address: str,
         request: bytes,
         may_repeat: bool,
+        before_send: Callable[[], None] | None,
     ) -> HttpAnswer:
         if idle_conn is not None:
+            if before_send is not None:
+                before_send()
             try:
                 return await self._exchange(address, idle_conn, request)
             except CallLostError:
@@ -218,6 +227,8 @@
                 if not may_repeat:
                     raise
         conn = await self._connect(address)
+        if before_send is not None:
+            before_send()
         return await self._exchange(address, conn, request)
 
     async def close(self) -> None:
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -175,6 +175,22 @@
     assert not await worker.stop_run(report(address), stop, 42)
 
 
+async def test_the_log_shows_when_a_lost_order_was_sent(
+    worker, worker_server, caplog
+):
+    stand_in, address = worker_server
+    # Leaves an idle connection, on which a call is sent without a wait.
+    await worker.list_runs(report(address), 0, 42, 0.0, 0.0)
+    stand_in.silent = True
+    order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(0.1))
+    with caplog.at_level("INFO", "briarford.worker"):
+        await worker.start_run(report(address), order, 42, LEASE_S)
+    (line,) = (r for r in caplog.records if r.message == "worker-call-lost")
+    assert (line.task, line.run) == ("j.0.0.0", 7)
+    (left_ms,) = line.sent_with_ms
+    assert 0 < left_ms <= 100
+
+
 async def test_an_order_to_a_crashed_worker_has_not_been_sent(worker):
     """Guards against tasks that wait for a lease although nothing was sent."""
     with socket.create_server(("127.0.0.1", 0)) as server:
