--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -142,7 +142,7 @@
         await web.TCPSite(self._runner, self.host, self.port).start()
 
     async def crash(self) -> None:
-        self.core.crash(self.loop.time())
+        self.core.crash(self.now())
         runner, self._runner = self._runner, None
         if runner is not None:
             await runner.cleanup()
@@ -435,7 +435,7 @@
     def _check(self) -> None:
         runs: dict[str, list[Interval]] = {}
         for worker in self.workers:
-            worker.core.advance(worker.loop.time())
+            worker.core.advance(worker.now())
             for run in worker.core.history:
                 runs.setdefault(run.task, []).append(run)
         for task, found in runs.items():
@@ -534,7 +534,7 @@
     await asyncio.sleep(soak.rng.choice((0.05, 0.3, 1.0)))
     if soak.rng.random() < 0.5:
         worker.core.name += "x"
-    worker.core.boot(worker.loop.time())
+    worker.core.boot(worker.now())
     await worker.boot()
     await soak.put_report(worker, worker.core.name, worker.report())
 
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -70,7 +70,7 @@
     """Return the runs on all workers, also those that go on."""
     found = []
     for worker in fleet.workers:
-        now = worker.loop.time()
+        now = worker.now()
         worker.core.advance(now)
         found += worker.core.history
         found += [
--- a/tests/adapter/test_processes.py
+++ b/tests/adapter/test_processes.py
@@ -56,11 +56,15 @@
 
 
 class WorkerServer:
-    """Serves a stand-in worker over HTTP, in real time."""
+    """Serves a stand-in worker over HTTP, in real time.
 
-    def __init__(self) -> None:
+    :param clock_rate: seconds that its clock advances in a second.
+    """
+
+    def __init__(self, clock_rate: float = 1.0) -> None:
         self.core = StandInWorker("i-1")
         self.loop = asyncio.get_running_loop()
+        self.clock_rate = clock_rate
 
     def app(self) -> web.Application:
         app = web.Application()
@@ -70,8 +74,12 @@
         add("POST", "/briarford/hold", self.hold)
         return app
 
+    def now(self) -> float:
+        """Return the time on the clock of the worker, in seconds."""
+        return self.loop.time() * self.clock_rate
+
     def _clock_ms(self) -> int:
-        return int(self.loop.time() * 1000)
+        return int(self.now() * 1000)
 
     async def start(self, req: web.Request) -> web.Response:
         body = msgspec.json.decode(await req.read())
@@ -82,7 +90,7 @@
             body["run"],
             body["fencing_token"],
             body["deadline_ms"] / 1000,
-            self.loop.time(),
+            self.now(),
         )
         answer: dict[str, Any] = {"clock_ms": self._clock_ms()}
         if result is OrderResult.STARTED:
@@ -92,13 +100,13 @@
     async def stop(self, req: web.Request) -> web.Response:
         body = msgspec.json.decode(await req.read())
         self.core.stop(
-            body["task"], body["run"], body["fencing_token"], self.loop.time()
+            body["task"], body["run"], body["fencing_token"], self.now()
         )
         return web.json_response({"clock_ms": self._clock_ms()})
 
     async def hold(self, req: web.Request) -> web.Response:
         body = msgspec.json.decode(await req.read())
-        until = self.loop.time() + body.get("wait_ms", 0) / 1000
+        until = self.now() + body.get("wait_ms", 0) / 1000
         lease_ms = body.get("deadline_ms")
         lease = None if lease_ms is None else lease_ms / 1000
         while True:
@@ -106,9 +114,9 @@
                 body["last_seen"],
                 body["fencing_token"],
                 lease,
-                self.loop.time(),
+                self.now(),
             )
-            if listing.ended or self.loop.time() >= until:
+            if listing.ended or self.now() >= until:
                 break
             await asyncio.sleep(0.01)
         return web.json_response(
