Send no order to start a run that is over

The other half of the fault: an order was decided in a turn and sent by a task of its own. Between the two the process may be paused, or wait for a connection, and the next turn may end the run, which then starts elsewhere.

The HTTP client asks right before it writes a request, and a call that has been given up leaves its connection as it was. An order is due while its run waits for it and its time is not over, and the core says so. One that is not sent is repeated while the worker accepts runs, and else the run ends at once as unavailable, without a stop at the worker; so does an order that got no connection in time, or no lease.

Evidence: test_an_order_that_is_no_longer_due_is_not_sent (on an idle and on a new connection, which are used again), test_an_order_is_due_while_ its_run_waits_for_it, test_an_order_that_was_not_sent_is_repeated_while_ the_worker_answers.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -10,7 +10,7 @@
 import contextlib
 import logging
 import os
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec.structs
@@ -86,6 +86,7 @@
         order: PlaceOrder,
         token: int,
         lease_until: float,
+        is_due: Callable[[], bool],
     ) -> OrderResult:
         """Order the worker to start a run.
 
@@ -95,6 +96,8 @@
             with a lower one than it has seen.
         :param lease_until: when the lease of the run has ended, in Unix
             seconds.
+        :param is_due: called right before the order is sent; if false it is
+            not, and counts as expired.
         """
 
     async def stop_run(
@@ -391,10 +394,16 @@
             return
         lease_until = self.core.lease_until(self._clock.now())
         self.core.lease_extended(lease_until)
+        result = OrderResult.NOT_SENT
         try:
-            result = await self._worker_api.start_run(
-                worker, order, self._fencing_token, lease_until
-            )
+            if lease_until:
+                result = await self._worker_api.start_run(
+                    worker,
+                    order,
+                    self._fencing_token,
+                    lease_until,
+                    lambda: self.core.is_due(order, self._clock.now()),
+                )
         except Exception:
             # The order may have been sent, so the run is withdrawn.
             EVENTS.exception("order-failed", extra={"task": order.task})
--- a/packages/briarford-daemon/src/briarford_daemon/http_client.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_client.py
@@ -19,7 +19,13 @@
 from briarford.exceptions import SettingsError
 from briarford_daemon.addresses import split_address
 
-__all__ = ["CallLostError", "HttpAnswer", "HttpClient", "NotConnectedError"]
+__all__ = [
+    "CallAbandonedError",
+    "CallLostError",
+    "HttpAnswer",
+    "HttpClient",
+    "NotConnectedError",
+]
 
 # With the preferred number of connections in use, a call waits this long for
 # one of them: several times the answer of a healthy peer.
@@ -53,6 +59,10 @@
         self.refused = isinstance(cause, ConnectionRefusedError)
 
 
+class CallAbandonedError(Exception):
+    """The caller has given up the call before its request was written."""
+
+
 class CallLostError(OSError):
     """The connection ended before the answer was complete."""
 
@@ -166,7 +176,8 @@
         :param address: host and port of the peer.
         :param method: HTTP method.
         :param target: path with query.
-        :param before_send: called each time before the request is written.
+        :param before_send: called each time before the request is written;
+            raises :class:`CallAbandonedError` if it is not to be.
         :raises NotConnectedError: if no connection could be opened; nothing
             has been sent, except if a GET or DELETE was to be sent again.
         :raises CallLostError: if the peer may have received the request.
@@ -217,19 +228,17 @@
         before_send: Callable[[], None] | None,
     ) -> HttpAnswer:
         if idle_conn is not None:
-            if before_send is not None:
-                before_send()
             try:
-                return await self._exchange(address, idle_conn, request)
+                return await self._exchange(
+                    address, idle_conn, request, before_send
+                )
             except CallLostError:
                 # The peer may have closed the idle connection while the
                 # request was being sent.
                 if not may_repeat:
                     raise
         conn = await self._connect(address)
-        if before_send is not None:
-            before_send()
-        return await self._exchange(address, conn, request)
+        return await self._exchange(address, conn, request, before_send)
 
     async def close(self) -> None:
         """Close idle connections; calls in flight go on."""
@@ -239,21 +248,34 @@
         self._idle.clear()
 
     async def _exchange(
-        self, address: str, conn: _Connection, request: bytes
+        self,
+        address: str,
+        conn: _Connection,
+        request: bytes,
+        before_send: Callable[[], None] | None,
     ) -> HttpAnswer:
         try:
+            if before_send is not None:
+                before_send()
             answer = await conn.exchange(request)
+        except CallAbandonedError:
+            self._release(address, conn)
+            raise
         except BaseException:
             # A late answer would be taken for that of the next call.
             conn.abort()
             raise
+        self._release(address, conn)
+        return answer
+
+    def _release(self, address: str, conn: _Connection) -> None:
+        """Keep an open connection for the next call."""
         if conn.open:
             now = asyncio.get_running_loop().time()
             idle = self._idle.setdefault(address, deque())
             idle.append((now + self._idle_timeout_s, conn))
         else:
             conn.abort()
-        return answer
 
     def _pop_idle(self, address: str) -> _Connection | None:
         now = asyncio.get_running_loop().time()
--- a/packages/briarford-daemon/tests/test_agent_process.py
+++ b/packages/briarford-daemon/tests/test_agent_process.py
@@ -51,7 +51,7 @@
         self.calls.append(call)
         self.tokens.append(token)
 
-    async def start_run(self, worker, order, token, lease_until):
+    async def start_run(self, worker, order, token, until, is_due):
         self._record("start", token)
         return OrderResult.STARTED
 
--- a/packages/briarford-daemon/tests/test_unexpected_errors.py
+++ b/packages/briarford-daemon/tests/test_unexpected_errors.py
@@ -203,7 +203,7 @@
         if self.calls[kind] <= self.failures:
             raise PlannedError
 
-    async def start_run(self, worker, order, token, lease_until):
+    async def start_run(self, worker, order, token, until, is_due):
         self._count("start")
         return OrderResult.STARTED
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -29,6 +29,7 @@
 from briarford.runs.effects import (
     AgentEffect,
     AgentEvent,
+    PlaceOrder,
     RaiseToken,
     SendToEntry,
     WithdrawRun,
@@ -548,6 +549,14 @@
                 until=round(self._failure_guard.suspended_until, 2),
             )
 
+    def is_due(self, order: PlaceOrder, now: float) -> bool:
+        """Whether an order to start a run may still be sent.
+
+        The caller asks right before it sends the order, and reports an order
+        that it does not send as ``OrderResult.EXPIRED``.
+        """
+        return self._orders.is_due(order, now)
+
     def order_answered(
         self, key: int, result: OrderResult, now: float
     ) -> None:
--- a/packages/briarford/src/briarford/runs/effects.py
+++ b/packages/briarford/src/briarford/runs/effects.py
@@ -21,14 +21,15 @@
 class PlaceOrder(msgspec.Struct, frozen=True):
     """Order the worker to start a run.
 
-    The caller passes the worker's answer to :meth:`RunAgent.order_answered`.
+    The caller passes the worker's answer to :meth:`RunAgent.order_answered`,
+    and does not send the order unless :meth:`RunAgent.is_due` then.
 
     :param key: number of the run at this agent.
     :param task: name of the task.
     :param run: number of the run.
     :param payload: what the worker receives.
     :param answer_by: Unix time in seconds at which the order counts as
-        unanswered.
+        unanswered; it is not sent later.
     """
 
     key: int
--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -22,7 +22,10 @@
 
 MAX_ORDERS = 3  # of one run, until it is withdrawn
 
-UNANSWERED = frozenset({OrderResult.UNANSWERED, OrderResult.NOT_SENT})
+_NOT_SENT = frozenset({OrderResult.NOT_SENT, OrderResult.EXPIRED})
+UNANSWERED = _NOT_SENT | {OrderResult.UNANSWERED}
+# These do not show that the worker cannot be reached.
+_REPEATABLE = frozenset({OrderResult.UNANSWERED, OrderResult.EXPIRED})
 
 _REJECTIONS = {
     OrderResult.FENCED: RunEnd.UNAVAILABLE,
@@ -33,6 +36,7 @@
     OrderResult.INVALID: RunEnd.REJECTED,
     OrderResult.OTHER_INCARNATION: RunEnd.LOST,
     OrderResult.NOT_SENT: RunEnd.UNAVAILABLE,
+    OrderResult.EXPIRED: RunEnd.UNAVAILABLE,
 }
 
 
@@ -109,6 +113,17 @@
         self.capacity.allocate(run.need)
         self._order(run, now)
 
+    def is_due(self, order: PlaceOrder, now: float) -> bool:
+        """Whether an order may be sent, some time after it was decided.
+
+        Its process may have been paused, or waited for a connection. The run
+        may have ended since, and then be under way elsewhere.
+        """
+        run = self._runs.get(order.key)
+        if run is None or run.phase is not RunPhase.ORDERED:
+            return False
+        return now <= order.answer_by
+
     def answered(
         self, run: Run, result: OrderResult, may_repeat: bool, now: float
     ) -> None:
@@ -120,19 +135,20 @@
         """
         if result not in UNANSWERED:
             self._answer_timeout.observe(now - run.sent_at)
-        elif result is OrderResult.UNANSWERED:
+        elif result in _REPEATABLE:
             self._answer_timeout.expired()
         if result is OrderResult.STARTED:
             run.mark_started(now)
             return
-        if result is OrderResult.UNANSWERED:
+        if result in _REPEATABLE:
             if run.phase is not RunPhase.ORDERED:
                 return
             if run.orders < MAX_ORDERS and may_repeat:
                 self._repeat(run, now)
-            else:
+                return
+            if result is OrderResult.UNANSWERED:
                 self.stop(run, RunEnd.UNANSWERED)
-            return
+                return
         self._log("order-rejected", task=run.task, reason=result.value)
         if run.phase is RunPhase.RUNNING:
             return  # a run listing has already shown that it runs
--- a/packages/briarford/src/briarford/runs/worker.py
+++ b/packages/briarford/src/briarford/runs/worker.py
@@ -88,7 +88,8 @@
     INVALID = "invalid"
     OTHER_INCARNATION = "other-boot"  # another instance answered
     UNANSWERED = "unanswered"  # it may still be executed
-    NOT_SENT = "not-sent"  # no connection could be opened
+    NOT_SENT = "not-sent"  # no connection could be opened, or no lease given
+    EXPIRED = "expired"  # not sent either: its time or its run was over
 
 
 class ListingFailure(enum.Enum):
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -17,6 +17,7 @@
     RunListing,
     RunningRow,
     StartRun,
+    StopRun,
     WorkerStatus,
 )
 from briarford.runs.agent import CLIENT_RETRY_DELAY_S
@@ -128,6 +129,61 @@
     assert not agent.accepting(NOW + 0.4)
 
 
+def lose_run(agent: RunAgent) -> None:
+    agent.worker_refused(NOW + 0.01)
+    agent.turn(NOW + 2.0)
+
+
+def stop_run(agent: RunAgent) -> None:
+    agent.handle(0, StopRun(1), NOW)
+    agent.turn(NOW)
+
+
+def list_run(agent: RunAgent) -> None:
+    row = RunningRow("j.0.0.0", 1, 0)
+    agent.listing_received(RunListing(1, (row,), ()), NOW, NOW)
+
+
+@pytest.mark.parametrize(
+    ("change", "after_s", "due"),
+    [
+        (None, 0.0, True),
+        (None, 0.1, True),
+        (None, 0.2, False),
+        (None, 1.24, False),
+        (lose_run, 0.0, False),
+        (stop_run, 0.0, False),
+        (list_run, 0.0, False),
+    ],
+    ids=["now", "in time", "late", "paused", "lost", "stopped", "running"],
+)
+def test_an_order_is_due_while_its_run_waits_for_it(change, after_s, due):
+    """Guards against an order that starts a run after it was given up."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    order = next(e for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    if change is not None:
+        change(agent)
+    assert agent.is_due(order, NOW + after_s) is due
+
+
+@pytest.mark.parametrize(
+    ("after_s", "ends"), [(0.1, []), (1.24, [RunEnd.UNAVAILABLE])]
+)
+def test_an_order_that_was_not_sent_is_repeated_while_the_worker_answers(
+    after_s, ends
+):
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    order = next(e for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    at = NOW + after_s
+    agent.order_answered(order.key, OrderResult.EXPIRED, at)
+    effects = agent.turn(at)
+    assert [e for e in effects if isinstance(e, WithdrawRun)] == []
+    assert any(isinstance(e, PlaceOrder) for e in effects) is (not ends)
+    assert ends_in(effects) == ends
+
+
 @pytest.mark.parametrize(
     ("calls", "renewed"),
     [
@@ -287,9 +343,13 @@
 
 
 def ends_reported_at(agent: RunAgent, now: float) -> list[RunEnd]:
+    return ends_in(agent.turn(now))
+
+
+def ends_in(effects) -> list[RunEnd]:
     return [
         e.message.how
-        for e in agent.turn(now)
+        for e in effects
         if isinstance(e, SendToEntry) and isinstance(e.message, RunEnded)
     ]
 
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -781,7 +781,11 @@
                 if_needed=True,
             )
 
-        if worker is None or (self.refused_connections and not worker.up):
+        if not core.is_due(order, self.now):
+            answered(OrderResult.EXPIRED)
+            return
+        is_refused = self.refused_connections and not worker.up
+        if worker is None or is_refused or not lease_end:
             self.after(WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT))
             return
         if node.name in self.resetting:
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -60,6 +60,10 @@
     return BootClock().now() + LEASE_S
 
 
+def start(client, address, order, is_due=lambda: True):
+    return client.start_run(report(address), order, 42, lease_until(), is_due)
+
+
 def deadline_in(seconds: float = 5.0) -> float:
     return time.time() + seconds
 
@@ -159,10 +163,7 @@
     stand_in, address = worker_server
     stand_in.status, stand_in.answer = status, answer
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
-    assert (
-        await worker.start_run(report(address), order, 42, lease_until())
-        is expected
-    )
+    assert await start(worker, address, order) is expected
     call, body, instance = stand_in.calls[0]
     assert (call, instance) == ("run-start", "i-1")
     assert body["task"] == "j.0.0.0"
@@ -176,7 +177,7 @@
     stand_in, address = worker_server
     stand_in.silent = True
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
-    result = await worker.start_run(report(address), order, 42, lease_until())
+    result = await start(worker, address, order)
     assert result is OrderResult.UNANSWERED
     stop = WithdrawRun(1, "j.0.0.0", 7)
     assert not await worker.stop_run(report(address), stop, 42)
@@ -191,19 +192,35 @@
     stand_in.silent = True
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(0.1))
     with caplog.at_level("INFO", "briarford.worker"):
-        await worker.start_run(report(address), order, 42, lease_until())
+        await start(worker, address, order)
     (line,) = (r for r in caplog.records if r.message == "worker-call-lost")
     assert (line.task, line.run) == ("j.0.0.0", 7)
     (left_ms,) = line.sent_with_ms
     assert 0 < left_ms <= 100
 
 
+@pytest.mark.parametrize("is_connected", [True, False])
+async def test_an_order_that_is_no_longer_due_is_not_sent(
+    worker, worker_server, is_connected
+):
+    """Guards against an order that starts a run after it was given up."""
+    stand_in, address = worker_server
+    order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
+    if is_connected:
+        assert await start(worker, address, order) is OrderResult.STARTED
+    sent = len(stand_in.calls)
+    result = await start(worker, address, order, is_due=lambda: False)
+    assert result is OrderResult.EXPIRED
+    assert await start(worker, address, order) is OrderResult.STARTED
+    assert len(stand_in.calls) == sent + 1
+
+
 async def test_an_order_to_a_crashed_worker_has_not_been_sent(worker):
     """Guards against tasks that wait for a lease although nothing was sent."""
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = f"127.0.0.1:{server.getsockname()[1]}"
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
-    result = await worker.start_run(report(address), order, 42, lease_until())
+    result = await start(worker, address, order)
     assert result is OrderResult.NOT_SENT
 
 
@@ -234,8 +251,8 @@
     stand_in, address = worker_server
     stand_in.answer = {"clock_ms": 900_000}
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
-    await worker.start_run(report(address), order, 42, lease_until())
-    await worker.start_run(report(address), order, 42, lease_until())
+    await start(worker, address, order)
+    await start(worker, address, order)
     ahead_ms = stand_in.calls[1][1]["deadline_ms"] - 900_000
     assert LEASE_MS - CLOCK_ERROR_MS <= ahead_ms <= LEASE_MS + ROUNDING_MS
 
@@ -273,7 +290,7 @@
     stand_in.answer = {"clock_ms": 900_000}
     order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
     await worker.list_runs(report(address), 0, 42, 0.0, 0.0)
-    await worker.start_run(report(address), order, 42, lease_until())
+    await start(worker, address, order)
     ahead_ms = stand_in.calls[1][1]["deadline_ms"] - 900_000
     assert LEASE_MS - CLOCK_ERROR_MS <= ahead_ms <= LEASE_MS + ROUNDING_MS
 
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -383,7 +383,7 @@
 
 
 def start_run(client, report):
-    return client.start_run(report, ORDER, 1, 1.0)
+    return client.start_run(report, ORDER, 1, 1.0, lambda: True)
 
 
 @pytest.mark.parametrize(
