Withdraw orders of a silent worker before its lease is extended

When the lease of a silent worker ended, all its runs were reported as lost, and withdrawals that had begun were given up. An order that the worker had not answered could be carried out seconds later.

The runs are reported as lost as before. Until the worker has confirmed that it starts none of those that it had not confirmed, has left, has another address, or the token is raised, it gets no lease and no run. Orders of the turn that ends their run are dropped. worker-silent has the number of such orders (unanswered).

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -320,6 +320,7 @@
         if not self._fencing_token or self._token_outdated:
             self._fencing_token = version
             self._token_outdated = False
+            self.core.token_raised()
         self.core.has_token = True
         self._worker_changed.set()
         self._wake()
@@ -419,8 +420,8 @@
         """Repeat the order to stop a run until the worker confirms it.
 
         Pauses while the worker does not answer: its lease is not renewed
-        then. Gives up if there is no worker any more, if the run has ended,
-        or if another process of this agent has taken over.
+        then. Gives up if there is no worker any more, if the run has
+        certainly ended, or if another process of this agent has taken over.
         """
         while (worker := self.core.worker) is not None:
             if not self.core.has_token:
@@ -432,9 +433,10 @@
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
                 # Only the run listing shows whether the run had started.
-                await self._list_runs(0.0)
+                if not order.key or self.core.needs_withdrawal(order.key):
+                    await self._list_runs(0.0)
                 return
-            if not self.core.is_open(order.key):
+            if not self.core.needs_withdrawal(order.key):
                 return
             await asyncio.sleep(max(0.0, retry_at - self._clock.now()))
 
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -334,11 +334,12 @@
         requests at another entry. An order to stop a run may not reach the
         worker: until it is confirmed, the lease ends before the client of
         that run repeats its request. Entries count the runs of a previous
-        process as ended with their lease, so none is renewed for those.
+        process as ended with their lease, so none is renewed for those, nor
+        while a run that counts as lost may still start.
 
         :return: Unix time in seconds; 0 if the call grants none.
         """
-        if not self._reconciled:
+        if not self._reconciled or not self._orders.settled:
             return 0.0
         repeats_at = min(
             (r.lease_limit(CLIENT_RETRY_DELAY_S) for r in self._orders.all()),
@@ -583,10 +584,16 @@
 
         :param key: number of the run at this agent.
         """
-        run = self._orders.get(key)
         self._contact.answered(now)
-        if run is not None and not run.ended_by:
-            run.withdrawn_at = now
+        self._orders.withdrawn(key, now)
+        self._turn_needed = True
+
+    def token_raised(self) -> None:
+        """Process that all further calls have a higher fencing token.
+
+        The worker refuses orders with a lower one from the next call on.
+        """
+        self._orders.settle()
 
     # -- sessions -----------------------------------------------------------
 
@@ -744,12 +751,14 @@
         It does not while the worker is unknown, draining, suspended, in an
         evacuated zone or does not answer, while the agent stops or has no
         fencing token, or while the worker may run something that this agent
-        did not order. A worker that was suspended gets one run at a time
-        until one succeeds.
+        did not order, or has given up. A worker that was suspended gets one
+        run at a time until one succeeds.
         """
         worker = self.worker
         if worker is None or worker.draining or not self._reconciled:
             return False
+        if not self._orders.settled:
+            return False
         if self.stopping or not self.has_token:
             return False
         if self._failure_guard.is_suspended(now):
@@ -855,9 +864,15 @@
             if self._contact.refuses
             else LossCause.WORKER_SILENT
         )
-        self._log("worker-silent", runs=len(self._orders), cause=cause.value)
         self._report_silence(now)
-        self._orders.finish_all(cause)
+        runs = len(self._orders)
+        unanswered = self._orders.finish_lapsed(cause)
+        self._log(
+            "worker-silent",
+            runs=runs,
+            unanswered=unanswered,
+            cause=cause.value,
+        )
 
     def _report_silence(self, now: float) -> None:
         """Report the loss of a worker whose lease has ended without an answer.
@@ -967,9 +982,12 @@
         """Whether no run is left on the worker."""
         return not self._orders
 
-    def is_open(self, key: int) -> bool:
-        """Whether the run with this key has not ended."""
-        return key in self._orders
+    def needs_withdrawal(self, key: int) -> bool:
+        """Whether an order to stop a run is to be repeated.
+
+        :param key: number of the run at this agent.
+        """
+        return self._orders.needs_withdrawal(key)
 
     @property
     def reconciled(self) -> bool:
--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -68,7 +68,10 @@
         self._answer_timeout = AnswerTimeout()
         self._runs: dict[int, Run] = {}
         self._by_task: dict[tuple[str, int], Run] = {}
+        # Numbers of lost runs whose orders may still be carried out.
+        self._unsettled: set[int] = set()
         self._last_key = 0
+        self._address = ""
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -96,6 +99,26 @@
         """Whether a run of a task may go on."""
         return any(r.task == task for r in self._runs.values())
 
+    @property
+    def settled(self) -> bool:
+        """Whether the worker starts no run any more that counts as lost."""
+        return not self._unsettled
+
+    def needs_withdrawal(self, key: int) -> bool:
+        """Whether an order to stop a run is to be repeated."""
+        return key in self._runs or key in self._unsettled
+
+    def withdrawn(self, key: int, now: float) -> None:
+        """Record that the worker has confirmed the order to stop a run."""
+        self._unsettled.discard(key)
+        run = self._runs.get(key)
+        if run is not None and not run.ended_by:
+            run.withdrawn_at = now
+
+    def settle(self) -> None:
+        """Record that the worker starts no run of an earlier order."""
+        self._unsettled.clear()
+
     @property
     def trial_job(self) -> str:
         """The job of which the worker runs tasks under suspicion."""
@@ -205,6 +228,9 @@
         """
         self._answer_timeout = AnswerTimeout()
         self.capacity = CapacityTracker(capacity)
+        if address != self._address:
+            self.settle()
+        self._address = address
         for run in self._runs.values():
             self.capacity.allocate(run.need)
             run.phase = RunPhase.STOPPING
@@ -252,12 +278,45 @@
         self._on_ended(run, end, ran_s)
 
     def finish_all(self, cause: LossCause) -> None:
-        """Report all runs of the present worker as lost."""
+        """Report all runs of the present worker, which has ended, as lost."""
+        self.settle()
         for run in list(self._runs.values()):
             if not run.ended_by:
                 run.loss = cause
                 self.finish(run, RunEnd.LOST)
 
+    def finish_lapsed(self, cause: LossCause) -> int:
+        """Report all runs of a silent worker as lost, as its lease has ended.
+
+        What it has started is over. But it may carry out an order that it has
+        not answered later, once the lease is extended for other runs. Such
+        orders are withdrawn, and nothing is to extend the lease before.
+
+        :return: the number of these orders.
+        """
+        unsent = self._drop_unsent()
+        for run in list(self._runs.values()):
+            if run.ended_by:
+                continue
+            is_sent = run.orders > 1 or run.key not in unsent
+            if is_sent and not run.started_at and not run.withdrawn_at:
+                self._unsettled.add(run.key)
+                if run.phase is not RunPhase.STOPPING:
+                    self._effects.append(
+                        WithdrawRun(run.key, run.task, run.run)
+                    )
+            run.loss = cause
+            self.finish(run, RunEnd.LOST)
+        return len(self._unsettled)
+
+    def _drop_unsent(self) -> set[int]:
+        """Drop the orders of this turn; return the numbers of their runs."""
+        unsent = {e.key for e in self._effects if isinstance(e, PlaceOrder)}
+        self._effects[:] = [
+            e for e in self._effects if not isinstance(e, PlaceOrder)
+        ]
+        return unsent
+
     def finish_abandoned(self, now: float) -> None:
         """Report the runs of a previous worker whose lease has ended."""
         for run in list(self._runs.values()):
--- a/packages/briarford/tests/fleet/test_lost_messages.py
+++ b/packages/briarford/tests/fleet/test_lost_messages.py
@@ -13,6 +13,7 @@
 from fleet.world import World, request
 
 WORK_S = 1.8
+UNANSWERED_S = 0.5  # longer than an order is repeated
 
 
 def make_world(workers: int = 2) -> World:
@@ -111,6 +112,35 @@
     assert isinstance(world.outcomes["j"][1], Completed)
 
 
+@pytest.mark.parametrize("late_s", [0.9, 1.3, 1.65, 1.9, 2.5, 3.5])
+@pytest.mark.parametrize("silent_s", [1.3, 1.6])
+def test_an_order_that_outlives_its_lease_starts_nothing(silent_s, late_s):
+    """Guards against a late order that runs under the lease of other runs.
+
+    The worker answers neither the order nor requests for listings until the
+    run counts as lost, and carries the order out later.
+    """
+    world = make_world()
+    for worker in world.workers.values():
+        worker.judges_by_lease = True
+    world.submit(world.entries["e0"], request("k", count=1, work_s=0.05))
+    world.run(0.2)
+    world.unanswered_order_delay = lambda task: late_s
+    silent_until = world.now + silent_s
+    world.listing_lost = lambda: world.now < silent_until
+    world.submit(world.entries["e0"], request("j", count=1, work_s=WORK_S))
+    world.stops_lost = True
+    world.run(UNANSWERED_S)
+    world.unanswered_order_delay = lambda task: None
+    world.run(silent_s - UNANSWERED_S)
+    world.stops_lost = False
+    for n in range(20):
+        world.submit(world.entries["e1"], request(f"m{n}", count=1))
+        world.run(0.2)
+    assert not world.overlaps()
+    assert isinstance(world.outcomes["j"][1], Completed)
+
+
 @pytest.mark.parametrize(
     "lose", [reset, silence, refuse_redials], ids=lambda f: f.__name__
 )
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -167,6 +167,93 @@
     assert agent.is_due(order, NOW + after_s) is due
 
 
+def answer_start(agent: RunAgent, key: int) -> None:
+    agent.order_answered(key, OrderResult.STARTED, NOW)
+
+
+def withdraw(agent: RunAgent, key: int) -> None:
+    stop_run(agent)
+    agent.stop_answered(key, NOW)
+
+
+def stop_in_vain(agent: RunAgent, key: int) -> None:
+    stop_run(agent)
+
+
+@pytest.mark.parametrize(
+    ("before", "withdrawals", "settled"),
+    [
+        (lambda agent, key: None, 1, False),
+        (answer_start, 0, True),
+        (withdraw, 0, True),
+        (stop_in_vain, 0, False),  # its withdrawal goes on
+    ],
+    ids=["unanswered", "started", "withdrawn", "not withdrawn"],
+)
+def test_a_lost_order_is_withdrawn_before_the_lease_is_extended(
+    before, withdrawals, settled
+):
+    """Guards against a late order that runs under the lease of other runs."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    (key,) = (e.key for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    before(agent, key)
+    agent.turn(NOW)
+    at = NOW + 1.3
+    agent.handle(0, EntryHeartbeat(at, 0), at)
+    effects = agent.turn(at)
+    assert ends_in(effects) == [RunEnd.LOST]
+    found = [e.key for e in effects if isinstance(e, WithdrawRun)]
+    assert found == [key] * withdrawals
+    agent.listing_received(RunListing(1, (), ()), at, at)
+    assert agent.needs_withdrawal(key) is not settled
+    assert agent.accepting(at) is settled
+    assert bool(agent.lease_until(at)) is settled
+    agent.stop_answered(key, at)
+    assert agent.accepting(at)
+    assert agent.lease_until(at)
+
+
+def test_an_order_of_the_turn_that_ends_its_run_is_dropped():
+    """A pause lies between the arrival of the order and the turn."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    at = NOW + 1.3
+    agent.handle(0, EntryHeartbeat(at, 0), at)
+    effects = agent.turn(at)
+    assert ends_in(effects) == [RunEnd.LOST]
+    orders = [e for e in effects if isinstance(e, PlaceOrder | WithdrawRun)]
+    assert orders == []
+
+
+def other_token(agent: RunAgent) -> None:
+    agent.token_raised()
+
+
+def other_worker(agent: RunAgent) -> None:
+    report = StandInWorker("w2").report(NOW)
+    report = msgspec.structs.replace(report, address="10.0.0.9:1")
+    agent.worker_reported(report, NOW + 1.3)
+
+
+def departure(agent: RunAgent) -> None:
+    agent.worker_left("w", NOW + 1.3)
+    agent.worker_reported(StandInWorker("w").report(NOW), NOW + 1.3)
+
+
+@pytest.mark.parametrize("change", [other_token, other_worker, departure])
+def test_what_excludes_a_late_order_replaces_its_withdrawal(change):
+    """Guards against an agent that accepts no runs any more."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    agent.turn(NOW)
+    at = NOW + 1.3
+    agent.turn(at)
+    change(agent)
+    agent.listing_received(RunListing(1, (), ()), at, at)
+    assert agent.accepting(at)
+
+
 @pytest.mark.parametrize(
     ("after_s", "ends"), [(0.1, []), (1.24, [RunEnd.UNAVAILABLE])]
 )
--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -70,6 +70,8 @@
     :param rejected_for_capacity: number of orders without free capacity.
     :param leaves_at: while it drains, the time until which it reports to stay
         at least; 0 if it reports none.
+    :param judges_by_lease: whether it carries out orders while it holds any
+        lease, also one that later calls have extended.
     :param guards: whether it rejects a run that exceeds its capacity.
     :param loads: what each start has brought its load to: time, thousandths
         of a processor.
@@ -98,6 +100,7 @@
     rejected_for_capacity: int = 0
     draining: bool = False
     leaves_at: float = 0.0
+    judges_by_lease: bool = False
     guards: bool = True
     loads: list[tuple[float, int]] = field(default_factory=list)
     acknowledged: set[tuple[str, int]] = field(default_factory=set)
@@ -152,6 +155,8 @@
         if token < self.token:
             return OrderResult.FENCED
         self.token = token
+        if self.judges_by_lease:
+            lease_end = max(lease_end, self.lease_end)
         if lease_end <= now:
             return OrderResult.LATE
         current = self.runs.get(task)
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -816,7 +816,7 @@
         worker, core = self._called_worker(node), node.core
         is_lost = self.stops_lost or node.name in self.resetting
         if worker is None or not worker.up or is_lost:
-            if core.is_open(order.key):
+            if core.needs_withdrawal(order.key):
                 self.after(
                     0.3, lambda: self._withdraw(node, order, generation)
                 )
