--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -215,6 +215,65 @@
     assert len(stand_in.calls) == sent + 1
 
 
+class SteppedClock(BootClock):
+    """A clock that a test sets forward."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.step_s = 0.0
+
+    def now(self) -> float:
+        return super().now() + self.step_s
+
+
+@pytest.mark.parametrize(
+    ("call", "result"),
+    [
+        (
+            lambda client, address: start(
+                client,
+                address,
+                PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0)),
+            ),
+            OrderResult.EXPIRED,
+        ),
+        (
+            lambda client, address: client.stop_run(
+                report(address), WithdrawRun(1, "j.0.0.0", 7), 42
+            ),
+            False,
+        ),
+        (
+            lambda client, address: client.list_runs(
+                report(address), 58, 42, 0.2, lease_until()
+            ),
+            ListingFailure.UNANSWERED,
+        ),
+    ],
+    ids=["start", "stop", "list"],
+)
+async def test_a_call_is_not_sent_after_a_pause(worker_server, call, result):
+    """Guards against a call that acts on what is no longer so.
+
+    A late listing acknowledges ends, and extends the lease, of another
+    incarnation. The process is paused while a connection is opened.
+    """
+    stand_in, address = worker_server
+    clock = SteppedClock()
+    client = WorkerClient(clock)
+    connect = client._http._connect
+
+    async def paused_connect(address):
+        conn = await connect(address)
+        clock.step_s += 2.4
+        return conn
+
+    client._http._connect = paused_connect
+    assert await call(client, address) is result
+    assert stand_in.calls == []
+    await client.close()
+
+
 async def test_an_order_to_a_crashed_worker_has_not_been_sent(worker):
     """Guards against tasks that wait for a lease although nothing was sent."""
     with socket.create_server(("127.0.0.1", 0)) as server:
