Count a client's time through a suspension before its request is served

Cause: the arrival of a request was kept on the clock of the event loop, which stands still while the machine is suspended. A submission waits for four turns of the loop, or up to 0.25 s, between reading and serving. After a suspension in that time, Deadline-Ms counted from the wake, so the job of a client that had left could be placed beside its repeat. Suspensions before the read were counted already.

Change: HttpCall.arrived_at is on a clock that counts suspensions, and is compared with the same clock when the request is served. It also no longer stands still within a turn of the loop.

Not reproduced with a machine that is suspended.

--- a/packages/briarford-daemon/src/briarford_daemon/http_connection.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_connection.py
@@ -20,7 +20,11 @@
 from briarford.intake import Account, ConnectionQuota, IntakeLimits, Phase
 from briarford_daemon.http_messages import Handler, HttpCall, HttpReply
 from briarford_daemon.intake import Intake
-from briarford_daemon.submissions import ConnectionSubmissions, SubmissionWatch
+from briarford_daemon.submissions import (
+    ConnectionSubmissions,
+    SubmissionWatch,
+    boot_time,
+)
 from briarford_daemon.tcp_state import TcpState, read_tcp_state
 
 __all__ = [
@@ -353,6 +357,9 @@
         path = self._target.partition(b"?")[0].decode("latin-1")
         method = self._parser.get_method().decode("latin-1")
         state = self._tcp_state()
+        boot_now = (
+            boot_time() if self._watch is None else self._watch.boot_now()
+        )
         suspended_s = 0.0
         if self._submissions is not None:
             suspended_s = self._submissions.completed(method, state)
@@ -362,7 +369,7 @@
             self._headers,
             bytes(self._body),
             self._parser.should_keep_alive(),
-            self._now() - state.silent_s - suspended_s,
+            boot_now - state.silent_s - suspended_s,
         )
         self._ahead_bytes += self._partial_bytes() + CALL_BYTES
         self._reset_request()
--- a/packages/briarford-daemon/src/briarford_daemon/http_messages.py
+++ b/packages/briarford-daemon/src/briarford_daemon/http_messages.py
@@ -36,9 +36,8 @@
     :param headers: values by lower-case name.
     :param body: the whole body; dropped once the handler has returned.
     :param keep_alive: whether the client wants to go on using the connection.
-    :param arrived_at: when its last bytes arrived at this machine, on the
-        clock of the event loop; the process may have read them later, and the
-        machine may have been suspended since.
+    :param arrived_at: when its last bytes arrived at this machine, on a clock
+        that counts suspensions; the process may have read them later.
     """
 
     method: str = ""
--- a/packages/briarford-daemon/src/briarford_daemon/submissions.py
+++ b/packages/briarford-daemon/src/briarford_daemon/submissions.py
@@ -13,7 +13,7 @@
 from briarford.intake.arrivals import FIRST_RETRANSMISSION_S
 from briarford_daemon.tcp_state import TcpState, network_prefix
 
-__all__ = ["ConnectionSubmissions", "SubmissionWatch"]
+__all__ = ["ConnectionSubmissions", "SubmissionWatch", "boot_time"]
 
 LOGGER = logging.getLogger("briarford.http")
 
@@ -23,7 +23,8 @@
 MS_PER_S = 1000
 
 
-def _boot_time() -> float:
+def boot_time() -> float:
+    """Return seconds on a clock that counts suspensions."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
@@ -43,7 +44,7 @@
         self,
         methods: frozenset[str],
         now: Callable[[], float] = time.monotonic,
-        boot_now: Callable[[], float] = _boot_time,
+        boot_now: Callable[[], float] = boot_time,
     ) -> None:
         self.methods = methods
         self.now = now
