Store the agent's record as it is when it is written

Cause: the record was encoded before the stored one was read and a lease granted. A heartbeat that arrived in these calls, or a pause between them, left a stale worker in the record, for instance one that does not drain yet, until the write after it. A process of the agent that follows in between uses it.

Change: the record is encoded right before the write.

Measured: test_the_record_is_written_as_it_is_by_then, two of two cases red before and green now; the other tests of test_agent_registration.py and test_agent_process.py pass.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/registry.py
@@ -192,7 +192,6 @@
         self._replaced = False
         if not had_lease and item is not None:
             self._pass_on_stored_record(item.value)
-            value = msgspec.json.encode(self._make_record())
         if had_lease and item is not None and item.value == value:
             # The answer of the write may have been lost.
             if item.version != self._version:
@@ -203,6 +202,8 @@
             self._lease = await self._store.grant_lease(
                 REGISTRATION_TTL_S, self._deadline()
             )
+        # It may have changed during the reads.
+        value = msgspec.json.encode(self._make_record())
         expected = item.version if item is not None else 0
         version = await self._store.write(
             self._key, value, expected, self._deadline(), self._lease
--- a/packages/briarford-daemon/tests/test_agent_registration.py
+++ b/packages/briarford-daemon/tests/test_agent_registration.py
@@ -129,6 +129,27 @@
     assert agent.versions == [42]
 
 
+@pytest.mark.parametrize("is_registered", [False, True])
+async def test_the_record_is_written_as_it_is_by_then(is_registered):
+    """The worker may begin to drain while the stored record is being read.
+
+    The next process would give it runs until the next heartbeat.
+    """
+    store = FakeStore()
+    agent = Agent(store)
+    if is_registered:
+        await agent.renew()
+        agent.record = AgentRecord("10.0.0.1:1", None, 2.0, "i1")
+    store.held["get"] = asyncio.Event()
+    task = asyncio.create_task(agent.renew())
+    for _ in range(10):
+        await asyncio.sleep(0)
+    agent.record = AgentRecord("10.0.0.1:1", None, 3.0, "i1")
+    store.held["get"].set()
+    assert await task
+    assert store.item.value == msgspec.json.encode(agent.record)
+
+
 async def test_the_token_is_the_version_of_the_own_write():
     """A later process may write before this one could read its record back.
 
