Order no task after the deadline of its client

Cause: jobs past their deadline are ended with the heartbeats, five times a second, and tasks are placed in each turn, before that. A turn that came late, or fell between two heartbeats, ordered runs for a client that waited no longer, up to 0.2 s after its deadline. Its job then counted as started.

Change: a task whose job is past its deadline is not placed.

Ruled out: a run beside a repeat. An agent refuses orders 0.7 s after the heartbeat that they echo, and the run was stopped within 0.2 s; clients repeat after 0.9 s or more.

Measured: test_a_task_is_not_ordered_after_the_deadline, three of four cases red before and green now; test_client_deadlines.py, test_admission.py, test_fleet.py and test_turns.py pass.

--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -784,7 +784,7 @@
                 break
             if self._unended_runs[task.name]:
                 continue  # an earlier run of the task may still be going on
-            if now < task.job.place_not_before:
+            if now < task.job.place_not_before or now >= task.job.deadline:
                 continue
             if task.suspect and suspects >= MAX_SUSPECTS_TRIED:
                 continue
--- a/packages/briarford/tests/fleet/test_client_deadlines.py
+++ b/packages/briarford/tests/fleet/test_client_deadlines.py
@@ -17,7 +17,8 @@
     RefusalReason,
     Refused,
 )
-from briarford.requests import JobEnded
+from briarford.requests import JobEnded, SendToAgent
+from briarford.runs import StartRun
 from fleet.explore import FAULTS, REPEAT_DELAY_S
 from fleet.explore import Case as ExplorerCase
 from fleet.worker import StandInWorker
@@ -127,6 +128,24 @@
     assert isinstance(world.refused.get("j"), Refused) is (runs == 0)
 
 
+@pytest.mark.parametrize(
+    ("turn_after_s", "orders"), [(0.04, 2), (0.05, 0), (0.06, 0), (0.3, 0)]
+)
+def test_a_task_is_not_ordered_after_the_deadline(turn_after_s, orders):
+    """Guards against runs for nobody while the event loop is busy.
+
+    Jobs past their deadline are ended five times a second only.
+    """
+    world = make_world(1)
+    entry, began = world.entries["e0"], world.now
+    world.freeze(entry, 1.0)
+    entry.core.turn(began)
+    entry.core.submit(request("j"), ROUTE, began, began + 0.05)
+    effects = entry.core.turn(began + turn_after_s)
+    messages = [e.message for e in effects if isinstance(e, SendToAgent)]
+    assert sum(isinstance(m, StartRun) for m in messages) == orders
+
+
 def test_an_ended_job_and_its_repeat_have_numbers_of_their_own():
     """Guards against a repeat that gets the outcome of the job before it."""
     core = make_world().entries["e0"].core
