--- a/packages/briarford-daemon/tests/test_http_client.py
+++ b/packages/briarford-daemon/tests/test_http_client.py
@@ -9,6 +9,7 @@
 
 from briarford_daemon import http_client
 from briarford_daemon.http_client import (
+    CallAbandonedError,
     CallLostError,
     HttpAnswer,
     HttpClient,
@@ -181,6 +182,26 @@
     assert asyncio.run(run()) == (2, HttpAnswer(200, b"ok"))
 
 
+def test_a_connection_on_which_nothing_was_sent_is_used_again():
+    """Guards against connections that stay open and are never used."""
+
+    def give_up() -> None:
+        raise CallAbandonedError("too late")
+
+    async def run() -> int:
+        peer = Peer(*[PLAIN] * 3)
+        async with calling(peer) as client:
+            for _ in range(3):
+                with pytest.raises(CallAbandonedError):
+                    await client.call(
+                        peer.address, "POST", "/", before_send=give_up
+                    )
+                await client.call(peer.address, "POST", "/")
+        return peer.connections
+
+    assert asyncio.run(run()) == 1
+
+
 def test_calls_beyond_the_limit_wait():
     async def run() -> int:
         peer = Peer(*[PLAIN] * 6)
