Keep cancels until their entry has attached to agents

An entry that had just started was attached to no agent when it got cancels of other entries' jobs. It answered 410 at once and asked nobody; the jobs went on.

An entry keeps its last 200 cancels that no other entry has confirmed, as long as agents keep them, and sends them to each agent to which it attaches meanwhile. The client's answer waits for 0.5 s as for any other cancel. The limit of cancels that are passed on counts these, too.

--- a/packages/briarford/src/briarford/requests/cancels.py
+++ b/packages/briarford/src/briarford/requests/cancels.py
@@ -1,4 +1,4 @@
-"""Limits the cancels that an entry passes on to others.
+"""Limits and keeps the cancels that an entry passes on to others.
 
 Each one costs a message an agent and entry. Many clients may cancel at once,
 and anyone may cancel what does not exist.
@@ -6,10 +6,16 @@
 
 from __future__ import annotations
 
-__all__ = ["CancelBudget"]
+from collections import OrderedDict
+
+from briarford.runs.cancels import KEEP_CANCEL_S
+
+__all__ = ["MAX_ASKED", "CancelBudget", "RecentCancels"]
 
 CANCELS_PER_S = 50.0
 BURST = 100.0
+# Each agent gets all of them when it attaches, and passes them on.
+MAX_ASKED = 200
 
 
 class CancelBudget:
@@ -30,3 +36,38 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+class RecentCancels:
+    """Jobs that were cancelled lately, the oldest cancel first.
+
+    :param limit: how many are kept; the oldest are dropped beyond it.
+    """
+
+    __slots__ = ("_expiries", "_limit")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._expiries: OrderedDict[str, float] = OrderedDict()
+
+    def __contains__(self, job: str) -> bool:
+        return job in self._expiries
+
+    def keep(self, job: str, now: float) -> None:
+        """Keep the cancel of a job for ``KEEP_CANCEL_S``."""
+        self._expiries.pop(job, None)
+        self._expiries[job] = now + KEEP_CANCEL_S
+        if len(self._expiries) > self._limit:
+            self._expiries.popitem(last=False)
+
+    def remove(self, job: str) -> None:
+        """Forget the cancel of a job."""
+        self._expiries.pop(job, None)
+
+    def jobs(self, now: float) -> list[str]:
+        """Return the jobs whose cancels are kept."""
+        while self._expiries:
+            if next(iter(self._expiries.values())) > now:
+                break
+            self._expiries.popitem(last=False)
+        return list(self._expiries)
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -26,7 +26,11 @@
     LEASE_EXPIRY_S,
     Attachments,
 )
-from briarford.requests.cancels import CancelBudget
+from briarford.requests.cancels import (
+    MAX_ASKED,
+    CancelBudget,
+    RecentCancels,
+)
 from briarford.requests.crashes import CrashCounts
 from briarford.requests.demand import (
     MAX_SUSPECTS_TRIED,
@@ -149,6 +153,8 @@
             self._agents, self._waiting, self._unended_runs
         )
         self._cancel_budget = CancelBudget()
+        # Which the other entries were asked for and none has confirmed.
+        self._asked_cancels = RecentCancels(MAX_ASKED)
         self._last_dispatch = 0
         self._last_job = 0
         self._next_heartbeat_at = 0.0
@@ -325,21 +331,23 @@
     def forward_cancel(self, job_id: str, now: float) -> bool:
         """Ask the other entries, by way of the agents, to cancel a job.
 
-        A :class:`CancelConfirmed` effect follows if one of them has it.
+        Agents that attach later are asked, too. A :class:`CancelConfirmed`
+        effect follows if another entry has the job.
 
-        :return: False if it was not asked: this entry has answered the job,
-            too many cancels are passed on, or no agent could.
+        :return: False if it is not asked, as this entry has answered the job
+            or too many cancels are passed on.
         """
         if job_id in self._answered or len(job_id) > MAX_JOB_ID_LENGTH:
             return False
+        if not self._cancel_budget.take(now):
+            self._log("cancel-not-forwarded", job=job_id)
+            return False
+        self._asked_cancels.keep(job_id, now)
         views = [
             v
             for v in self._agents.linked()
             if v.attached and Capability.RELAYS_CANCELS in v.capabilities
         ]
-        if not views or not self._cancel_budget.take(now):
-            self._log("cancel-not-forwarded", job=job_id, agents=len(views))
-            return False
         self._log("cancel-forwarded", job=job_id, agents=len(views))
         for view in views:
             self._agents.send(view, CancelJob(job_id))
@@ -463,6 +471,7 @@
                     self._log("cancel-received", job=msg.job, agent=view.name)
                     self._agents.send(view, JobCancelled(msg.job))
             case JobCancelled():
+                self._asked_cancels.remove(msg.job)
                 self._emit(CancelConfirmed(msg.job))
 
     def _handle_attached(
@@ -484,6 +493,9 @@
             self._log("agent-build", agent=view.name, build=msg.build)
         view.heartbeat_sent_at = msg.sent_at
         self._send_heartbeat(view)
+        if Capability.RELAYS_CANCELS in view.capabilities:
+            for job_id in self._asked_cancels.jobs(now):
+                self._agents.send(view, CancelJob(job_id))
         if msg.incarnation != view.incarnation:
             if view.incarnation:
                 self._log("agent-restarted", agent=view.name)
--- a/packages/briarford/tests/fleet/test_cancels.py
+++ b/packages/briarford/tests/fleet/test_cancels.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briarford.requests.cancels import BURST
+from briarford.requests.cancels import BURST, RecentCancels
 from briarford.runs import CancelJob
 from briarford.runs.cancels import KEEP_CANCEL_S, MAX_KEPT, CancelRelay
 from fleet.worker import StandInWorker
@@ -12,6 +12,7 @@
 
 NOW = 1000.0
 ANSWERED_WITHIN_S = 0.1
+CLIENT_WAITS_S = 0.5
 CANCEL_S = 3.0  # no task starts later than this after its cancel
 
 
@@ -67,6 +68,56 @@
     assert all(r.start < at + CANCEL_S for r in world.history())
 
 
+def just_started(world):
+    world.kill(world.entries["e1"])
+    world.restart_entry(world.entries["e1"])
+    return CLIENT_WAITS_S
+
+
+def cut_off(world):
+    for agent in world.agents:
+        world.cut("e1", agent)
+    world.run(1.0)
+    world.after(2.0, world.heal)
+    return 3.0
+
+
+@pytest.mark.parametrize("fault", [just_started, cut_off])
+def test_a_cancel_is_passed_on_once_its_entry_has_attached(fault):
+    """Guards against cancels that reach nobody and are answered."""
+    world = World([StandInWorker(f"w{n}") for n in range(2)], 3)
+    world.run(1.0)
+    world.submit(world.entries["e0"], request("j", count=60, work_s=1.8))
+    world.run(0.3)
+    assert running(world)
+    within_s = fault(world)
+    at = world.now
+    assert not world.entries["e1"].core.can_place
+    assert world.cancel_at("e1", "j")
+    world.run(4.0)
+    assert not world.entries["e0"].core.open_jobs
+    assert not running(world)
+    confirmed = {(e, j): t for e, j, t in reversed(world.confirmed_cancels)}
+    assert confirmed["e1", "j"] - at < within_s
+    assert len(world.history()) < 60
+    assert all(r.start < at + CANCEL_S for r in world.history())
+
+
+def test_a_cancel_that_waits_for_an_agent_is_kept_within_bounds():
+    """Guards against state that grows with what clients make up."""
+    cancels = RecentCancels(3)
+    for n in range(5):
+        cancels.keep(f"j{n}", NOW + n)
+    assert cancels.jobs(NOW + 5) == ["j2", "j3", "j4"]
+    assert "j1" not in cancels
+    cancels.keep("j2", NOW + 5)
+    cancels.remove("j3")
+    cancels.remove("other")
+    assert cancels.jobs(NOW + 5) == ["j4", "j2"]
+    assert cancels.jobs(NOW + 4 + KEEP_CANCEL_S) == ["j2"]
+    assert cancels.jobs(NOW + 5 + KEEP_CANCEL_S) == []
+
+
 def test_a_job_that_no_entry_has_is_confirmed_by_none():
     world = make_world()
     assert world.cancel_at("e1", "other")
