Keep cancels of jobs that have not arrived

A cancel that reached an entry before the request of its job was dropped there: the request had been held up on its way to an entry that was suspended. The job ran to its end.

Entries that ask for a cancel or are asked keep it, bounded in number and age. The outcome does not say that the job has never run, as another entry may have had it.

--- a/packages/briarford/src/briarford/requests/cancels.py
+++ b/packages/briarford/src/briarford/requests/cancels.py
@@ -10,12 +10,14 @@
 
 from briarford.runs.cancels import KEEP_CANCEL_S
 
-__all__ = ["MAX_ASKED", "CancelBudget", "RecentCancels"]
+__all__ = ["MAX_ASKED", "MAX_KNOWN", "CancelBudget", "RecentCancels"]
 
 CANCELS_PER_S = 50.0
 BURST = 100.0
 # Each agent gets all of them when it attaches, and passes them on.
 MAX_ASKED = 200
+# They cost memory only, and come from all entries.
+MAX_KNOWN = 2000
 
 
 class CancelBudget:
@@ -50,8 +52,10 @@
         self._limit = limit
         self._expiries: OrderedDict[str, float] = OrderedDict()
 
-    def __contains__(self, job: str) -> bool:
-        return job in self._expiries
+    def has(self, job: str, now: float) -> bool:
+        """Whether the cancel of a job is kept."""
+        expires_at = self._expiries.get(job)
+        return expires_at is not None and now < expires_at
 
     def keep(self, job: str, now: float) -> None:
         """Keep the cancel of a job for ``KEEP_CANCEL_S``."""
--- a/packages/briarford/src/briarford/requests/dispatcher.py
+++ b/packages/briarford/src/briarford/requests/dispatcher.py
@@ -28,6 +28,7 @@
 )
 from briarford.requests.cancels import (
     MAX_ASKED,
+    MAX_KNOWN,
     CancelBudget,
     RecentCancels,
 )
@@ -155,6 +156,9 @@
         self._cancel_budget = CancelBudget()
         # Which the other entries were asked for and none has confirmed.
         self._asked_cancels = RecentCancels(MAX_ASKED)
+        # Of jobs that clients cancelled by way of another entry. A request
+        # that was held up may bring such a job later.
+        self._known_cancels = RecentCancels(MAX_KNOWN)
         self._last_dispatch = 0
         self._last_job = 0
         self._next_heartbeat_at = 0.0
@@ -175,7 +179,8 @@
         A repeat of a job that is still open joins it. A repeat of one that
         completed or failed within the last ``KEEP_OUTCOME_S`` gets the same
         outcome. Refused and cancelled jobs are not kept, so a repeat of one
-        of these is a new job.
+        of these is a new job. A job that was cancelled by way of another
+        entry within ``KEEP_CANCEL_S`` is not run.
 
         :param request: the job.
         :param route: the route that its host and path select.
@@ -194,6 +199,8 @@
             open_job.deadline = max(open_job.deadline, deadline)
             open_job.place_not_before = -math.inf  # this client is here
             return None
+        if self._known_cancels.has(request.job, now):
+            return self._cancelled_before(request.job)
         if deadline <= now:
             return self._refuse_past_deadline(request.job, now)
         exhausted = self._find_exhausted(request)
@@ -303,6 +310,17 @@
             now + FULL_RETRY_S,
         )
 
+    def _cancelled_before(self, job_id: str) -> Failed:
+        """Return the answer to a request that its cancel has overtaken."""
+        self.counts["cancelled-before"] += 1
+        self._log("cancelled-before", job=job_id)
+        return Failed(
+            FailureReason.CANCELLED,
+            "the job was cancelled before its request arrived",
+            Step.SUBMIT,
+            self.name,
+        )
+
     def cancel(self, job_id: str, now: float) -> bool:
         """Cancel a job and stop its runs.
 
@@ -343,6 +361,7 @@
             self._log("cancel-not-forwarded", job=job_id)
             return False
         self._asked_cancels.keep(job_id, now)
+        self._known_cancels.keep(job_id, now)
         views = [
             v
             for v in self._agents.linked()
@@ -467,6 +486,7 @@
                 if dispatch is not None:
                     self._finish_run(view, dispatch, RunEnd.FAILED, now)
             case CancelJob():
+                self._known_cancels.keep(msg.job, now)
                 if self.cancel(msg.job, now):
                     self._log("cancel-received", job=msg.job, agent=view.name)
                     self._agents.send(view, JobCancelled(msg.job))
--- a/packages/briarford/tests/fleet/test_cancels.py
+++ b/packages/briarford/tests/fleet/test_cancels.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarford.outcomes import Failed, FailureReason
 from briarford.requests.cancels import BURST, RecentCancels
 from briarford.runs import CancelJob
 from briarford.runs.cancels import KEEP_CANCEL_S, MAX_KEPT, CancelRelay
@@ -103,13 +104,54 @@
     assert all(r.start < at + CANCEL_S for r in world.history())
 
 
+@pytest.mark.parametrize("entry", ["e0", "e1", "e2"])
+@pytest.mark.parametrize("is_away", [True, False])
+def test_a_cancel_that_overtakes_its_job_is_carried_out(entry, is_away):
+    """Guards against a job that runs although it was cancelled before.
+
+    It was held up on its way, for instance to an entry that was frozen.
+    """
+    world = make_world()
+    if is_away:
+        world.freeze(world.entries["e0"], 3.0)
+    world.cancel_at("e1", "late")
+    world.run(6.0)
+    node = world.entries[entry]
+    outcome = world.submit(node, request("late"))
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is FailureReason.CANCELLED
+    world.run(1.0)
+    assert not [r for r in world.history() if r.task.startswith("late")]
+    assert not node.core.number_of("late")
+
+
+def test_a_confirmed_cancel_holds_for_repeats_that_were_held_up():
+    """Guards against a repeat that starts the cancelled job again."""
+    world = make_world()
+    world.cancel_at("e1", "j")
+    world.run(1.0)
+    assert world.confirmed_cancels
+    for node in world.entries.values():
+        assert isinstance(world.submit(node, request("j")), Failed)
+
+
+def test_a_cancelled_job_is_not_refused_for_ever():
+    world = make_world()
+    world.cancel_at("e1", "late")
+    world.run(3 * KEEP_CANCEL_S)
+    for node in world.entries.values():
+        assert world.submit(node, request("late")) is None
+
+
 def test_a_cancel_that_waits_for_an_agent_is_kept_within_bounds():
     """Guards against state that grows with what clients make up."""
     cancels = RecentCancels(3)
     for n in range(5):
         cancels.keep(f"j{n}", NOW + n)
     assert cancels.jobs(NOW + 5) == ["j2", "j3", "j4"]
-    assert "j1" not in cancels
+    assert not cancels.has("j1", NOW + 5)
+    assert cancels.has("j2", NOW + 5)
+    assert not cancels.has("j2", NOW + 2 + KEEP_CANCEL_S)
     cancels.keep("j2", NOW + 5)
     cancels.remove("j3")
     cancels.remove("other")
