Keep cancels for as long as an entry may be cut off

Agents kept an unconfirmed cancel for 10 s. An entry that was cut off for 12 s still had the job, as its client waited for 30 s, was told nothing and started the tasks anew.

Agents, and entries that ask or are asked, keep a cancel for 60 s; an agent keeps 1,000 in place of 200. An attaching entry gets them before it is attached: it ordered runs between the two messages, which were stopped 50 ms later.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -608,14 +608,16 @@
             self._stop_session_runs(session, "entry-restarted")
         if msg.entry not in self._sessions:
             self._log("session-opened", entry=msg.entry, build=msg.build)
+        # First, as the entry may order runs once it is attached.
+        if Capability.RELAYS_CANCELS in msg.capabilities:
+            for job in self._cancels.pending_for(msg.entry, now):
+                self._effects.append(SendToEntry(link, CancelJob(job)))
         if not self._sessions.attach(link, msg, now):
             return
         self._statuses.session_changed()
         self._orders.capacity.close_offer(msg.entry)
         for failure in self._unreported_failures:
             self._effects.append(SendToEntry(link, failure))
-        for job in self._cancels.pending_for(msg.entry, now):
-            self._pass_on(CancelJob(job), {msg.entry})
 
     def _pass_on(
         self, message: CancelJob | JobCancelled, entries: Container[str]
--- a/packages/briarford/src/briarford/runs/cancels.py
+++ b/packages/briarford/src/briarford/runs/cancels.py
@@ -12,8 +12,9 @@
 __all__ = ["KEEP_CANCEL_S", "MAX_JOB_ID_LENGTH", "CancelRelay"]
 
 # An entry that was paused or cut off gets the cancel when it attaches again.
-KEEP_CANCEL_S = 10.0
-MAX_KEPT = 200
+# It has the job until then, and clients wait for tens of seconds.
+KEEP_CANCEL_S = 60.0
+MAX_KEPT = 1000  # each entry that attaches gets all of them
 MAX_JOB_ID_LENGTH = 200
 
 
--- a/packages/briarford/tests/fleet/test_cancels.py
+++ b/packages/briarford/tests/fleet/test_cancels.py
@@ -44,25 +44,26 @@
     assert first - at < ANSWERED_WITHIN_S
 
 
-def freeze(world):
-    world.freeze(world.entries["e0"], 2.0)
+def freeze(world, away_s):
+    world.freeze(world.entries["e0"], away_s)
 
 
-def cut(world):
+def cut(world, away_s):
     for agent in world.agents:
         world.cut("e0", agent)
-    world.after(2.0, world.heal)
+    world.after(away_s, world.heal)
 
 
 @pytest.mark.parametrize("fault", [freeze, cut])
-def test_an_entry_that_was_away_cancels_the_job_when_it_is_back(fault):
+@pytest.mark.parametrize("away_s", [2.0, 12.0, 40.0])
+def test_an_entry_that_was_away_cancels_the_job_when_it_is_back(fault, away_s):
     """Guards against a job that goes on after a freeze or a cut."""
     world = make_world()
-    fault(world)
+    fault(world, away_s)
     world.run(0.2)
     at = world.now
     world.cancel_at("e1", "j")
-    world.run(4.0)
+    world.run(away_s + 2.0)
     assert not world.entries["e0"].core.open_jobs
     world.run(1.0)
     assert not running(world)
