Use one clock for the agent and for its calls to the worker

Ends of leases and calls are times now, and the agent and its worker client each had a clock with an offset of its own: a step of the time of day, or a pause, while the process starts would have shifted every lease for its life.

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -141,6 +141,8 @@
     :param evacuations: the keys of the operators' requests to evacuate zones;
         used if the settings enable evacuations.
     :param intake: bounds the connections of entries; None for no bounds.
+    :param clock: the clock by which ``worker_api`` reads the ends of leases
+        and calls; None if it reads none.
     """
 
     def __init__(
@@ -151,10 +153,11 @@
         metrics: FleetMetrics,
         evacuations: EvacuationSource | None = None,
         intake: Intake | None = None,
+        clock: BootClock | None = None,
     ) -> None:
         self._cfg = cfg
         self._worker_api = worker_api
-        self._clock = BootClock()
+        self._clock = clock or BootClock()
         self.core = RunAgent(cfg.name, os.urandom(4).hex())
         self._metrics = metrics
         metrics.set_sources(self.core.counts, self._state)
--- a/tests/adapter/test_paused_agent.py
+++ b/tests/adapter/test_paused_agent.py
@@ -124,8 +124,10 @@
     cfg = FleetSettings(
         name="a", zone="z", ip="127.0.0.1", rpc_port=0, store="", http=""
     )
-    client = WorkerClient(BootClock())
-    agent = FleetAgent(cfg, Store(), client, FleetMetrics("a", {}))
+    clock = BootClock()
+    client = WorkerClient(clock)
+    metrics = FleetMetrics("a", {})
+    agent = FleetAgent(cfg, Store(), client, metrics, clock=clock)
     report = WorkerReport(
         *("i-1", worker.core.born_ms, "desk", address, "z"),
         *(Capacity(8000, 1000, 0), (), False, worker._clock_ms(), 1),
