Count orders that were not sent as such

Three orders of which none was written ended in a stop at the worker, and the run waited for its confirmation; so did the run of a first order that was not sent because it was being stopped. Only an order that may have been written makes a stop necessary.

--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -22,10 +22,9 @@
 
 MAX_ORDERS = 3  # of one run, until it is withdrawn
 
-_NOT_SENT = frozenset({OrderResult.NOT_SENT, OrderResult.EXPIRED})
-UNANSWERED = _NOT_SENT | {OrderResult.UNANSWERED}
-# These do not show that the worker cannot be reached.
-_REPEATABLE = frozenset({OrderResult.UNANSWERED, OrderResult.EXPIRED})
+UNANSWERED = frozenset(
+    {OrderResult.UNANSWERED, OrderResult.NOT_SENT, OrderResult.EXPIRED}
+)
 
 _REJECTIONS = {
     OrderResult.FENCED: RunEnd.UNAVAILABLE,
@@ -36,7 +35,6 @@
     OrderResult.INVALID: RunEnd.REJECTED,
     OrderResult.OTHER_INCARNATION: RunEnd.LOST,
     OrderResult.NOT_SENT: RunEnd.UNAVAILABLE,
-    OrderResult.EXPIRED: RunEnd.UNAVAILABLE,
 }
 
 
@@ -157,25 +155,27 @@
         :param may_repeat: whether the worker may be ordered to start runs.
         """
         if result not in UNANSWERED:
-            self._answer_timeout.observe(now - run.sent_at)
-        elif result in _REPEATABLE:
+            self._answer_timeout.observe(now - run.decided_at)
+        elif result is OrderResult.UNANSWERED:
             self._answer_timeout.expired()
         if result is OrderResult.STARTED:
             run.mark_started(now)
             return
-        if result in _REPEATABLE:
+        if result is OrderResult.EXPIRED:
+            self._expired(run, may_repeat, now)
+            return
+        if result is OrderResult.UNANSWERED:
             if run.phase is not RunPhase.ORDERED:
                 return
             if run.orders < MAX_ORDERS and may_repeat:
                 self._repeat(run, now)
-                return
-            if result is OrderResult.UNANSWERED:
+            else:
                 self.stop(run, RunEnd.UNANSWERED)
-                return
+            return
         self._log("order-rejected", task=run.task, reason=result.value)
         if run.phase is RunPhase.RUNNING:
             return  # a run listing has already shown that it runs
-        if run.orders > 1:
+        if run.orders - run.unsent > 1:
             # An earlier order may have started it.
             self.stop(run, RunEnd.UNANSWERED)
             return
@@ -183,6 +183,22 @@
             run.loss = LossCause.NOT_STARTED
         self.finish(run, _REJECTIONS[result])
 
+    def _expired(self, run: Run, may_repeat: bool, now: float) -> None:
+        """Repeat an order that was not sent in time, or end its run."""
+        run.unsent += 1
+        if run.phase is RunPhase.ORDERED and may_repeat:
+            self._answer_timeout.expired()
+            if run.orders < MAX_ORDERS:
+                self._repeat(run, now)
+                return
+        if run.orders > run.unsent:
+            # Another order may have started it.
+            self.stop(run, RunEnd.UNANSWERED)
+        elif run.phase is RunPhase.STOPPING:
+            self.finish(run, run.end)
+        else:
+            self.finish(run, RunEnd.UNAVAILABLE)
+
     def stop(self, run: Run, end: RunEnd) -> None:
         """Order the worker to stop a run.
 
@@ -203,7 +219,8 @@
         for effect in self._effects:
             if isinstance(effect, PlaceOrder) and effect.key == run.key:
                 self._effects.remove(effect)
-                if run.orders > 1:
+                run.unsent += 1
+                if run.orders > run.unsent:
                     return False
                 self.finish(run, RunEnd.STOPPED)
                 return True
@@ -246,7 +263,7 @@
     def _order(self, run: Run, now: float) -> None:
         """Send the order to start a run to the worker."""
         run.orders += 1
-        run.sent_at = now
+        run.decided_at = now
         self._effects.append(
             PlaceOrder(
                 run.key,
@@ -298,8 +315,8 @@
         for run in list(self._runs.values()):
             if run.ended_by:
                 continue
-            is_sent = run.orders > 1 or run.key not in unsent
-            if is_sent and not run.started_at and not run.withdrawn_at:
+            orders = run.orders - run.unsent - (run.key in unsent)
+            if orders and not run.started_at and not run.withdrawn_at:
                 self._unsettled.add(run.key)
                 if run.phase is not RunPhase.STOPPING:
                     self._effects.append(
--- a/packages/briarford/src/briarford/runs/state.py
+++ b/packages/briarford/src/briarford/runs/state.py
@@ -65,8 +65,9 @@
     :param useful_by: likewise for the answer of its job to be of use.
     :param loss: why it is lost, if that is how it will be reported.
     :param suspect: whether a worker was lost under the task before.
-    :param orders: how often the worker was ordered to start it.
-    :param sent_at: when the last of these orders was sent.
+    :param orders: how many orders to start it were decided.
+    :param unsent: how many of these were certainly not sent.
+    :param decided_at: when the last of them was decided.
     :param slowness: learnt slowness of the worker when the order arrived.
     :param pace: how many times longer than expected on this worker the run
         takes at its present pace; 0 if unknown.
@@ -101,7 +102,8 @@
     loss: LossCause | None = None
     suspect: bool = False
     orders: int = 0
-    sent_at: float = 0.0
+    unsent: int = 0
+    decided_at: float = 0.0
     slowness: float = 1.0
     pace: float = 0.0
     paced_at: float = 0.0
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -254,6 +254,41 @@
     assert agent.accepting(at)
 
 
+@pytest.mark.parametrize(
+    ("results", "withdrawn"),
+    [
+        ([OrderResult.EXPIRED] * 3, False),
+        ([OrderResult.EXPIRED, OrderResult.NO_ROOM], False),
+        ([OrderResult.EXPIRED, OrderResult.UNANSWERED, None], True),
+        ([OrderResult.UNANSWERED, OrderResult.EXPIRED, None], True),
+        ([OrderResult.UNANSWERED, OrderResult.NO_ROOM], True),
+    ],
+    ids=["unsent", "rejected", "then sent", "sent before", "sent twice"],
+)
+def test_only_an_order_that_was_sent_is_withdrawn(results, withdrawn):
+    """Guards against a run whose end waits for a worker without cause."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    effects = []
+    for result in results:
+        found = agent.turn(NOW)
+        effects += found
+        orders = [e for e in found if isinstance(e, PlaceOrder)]
+        agent.order_answered(orders[0].key, result or OrderResult.EXPIRED, NOW)
+    effects += agent.turn(NOW)
+    assert any(isinstance(e, WithdrawRun) for e in effects) is withdrawn
+    assert bool(ends_in(effects)) is not withdrawn
+
+
+def test_an_order_of_a_run_that_is_stopped_ends_it_unsent():
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    (key,) = (e.key for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    stop_run(agent)
+    agent.order_answered(key, OrderResult.EXPIRED, NOW)
+    assert ends_reported_at(agent, NOW) == [RunEnd.STOPPED]
+
+
 @pytest.mark.parametrize(
     ("after_s", "ends"), [(0.1, []), (1.24, [RunEnd.UNAVAILABLE])]
 )
