Start no task beside an unknown run of it on the same worker

The agent looked only at the runs that it had open. It now refuses a task of which a listing shows an unknown run.

This is no cure: the entry may order the task elsewhere. It narrows what a run that nobody should have started can do.

Evidence: test_a_task_does_not_start_beside_an_unknown_run_of_it, red before in the case where the run goes on.

--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -715,6 +715,7 @@
             or not self.accepting(now)
             or not self._has_label(msg.required_label)
             or self._orders.has_task(run.task)
+            or any(task == run.task for task, _ in self._unknown_runs)
         ):
             self._report_end(run, RunEnd.UNAVAILABLE, 0.0)
             return
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -703,6 +703,23 @@
     assert agent.lease_until(NOW + 0.1) == NOW + 0.1 + full_s
 
 
+@pytest.mark.parametrize(
+    ("listed", "ends"),
+    [(True, [RunEnd.UNAVAILABLE]), (False, [])],
+    ids=["goes on", "has ended"],
+)
+def test_a_task_does_not_start_beside_an_unknown_run_of_it(listed, ends):
+    agent = make_agent("e")
+    row = RunningRow("j.0.0.0", 1, 5)
+    agent.listing_received(RunListing(1, (row,), ()), NOW, NOW)
+    rows = (row,) if listed else ()
+    agent.listing_received(RunListing(1, rows, ()), NOW + 0.01, NOW + 0.01)
+    agent.turn(NOW + 0.01)
+    order = StartRun(2, "j.0.0.0", 2, "p", 3000, 1, 0, 0.5)
+    agent.handle(0, order, NOW + 0.01)
+    assert ends_reported_at(agent, NOW + 0.01) == ends
+
+
 def test_unknown_runs_are_stopped_once_and_again_only_after_a_while():
     """Guards against a storm of orders at a restarted agent.
 
