--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+import msgspec.structs
 import pytest
 
 from briarford.exceptions import StoreError
@@ -274,6 +275,38 @@
     await client.close()
 
 
+async def test_a_call_to_a_replaced_incarnation_is_not_sent(worker_server):
+    """Guards against ends of the new one that are acknowledged unseen."""
+    stand_in, address = worker_server
+    client = WorkerClient(BootClock())
+    connect = client._http._connect
+    later = msgspec.structs.replace(report(address), born_ms=2)
+
+    async def slow_connect(address):
+        conn = await connect(address)
+        client._http._connect = connect
+        await client.list_runs(later, 0, 42, 0.0, 0.0)
+        return conn
+
+    client._http._connect = slow_connect
+    listing = await client.list_runs(report(address), 58, 42, 0.0, 0.0)
+    assert listing is ListingFailure.UNANSWERED
+    assert [body["last_seen"] for _, body, _ in stand_in.calls] == [0]
+    await client.close()
+
+
+async def test_the_clock_of_another_instance_is_not_used(
+    worker, worker_server
+):
+    """Guards against leases that end by the clock of another worker."""
+    stand_in, address = worker_server
+    stand_in.status, stand_in.answer = 421, {"clock_ms": 900_000}
+    await worker.list_runs(report(address), 0, 42, 0.0, 0.0)
+    order = PlaceOrder(1, "j.0.0.0", 7, "text", deadline_in(1.0))
+    await start(worker, address, order)
+    assert stand_in.calls[1][1]["deadline_ms"] < 900_000
+
+
 async def test_an_order_to_a_crashed_worker_has_not_been_sent(worker):
     """Guards against tasks that wait for a lease although nothing was sent."""
     with socket.create_server(("127.0.0.1", 0)) as server:
