Exclude late orders at a worker that was replaced while it was silent

- A silent worker's withdrawals were forgotten when one at another address took its place, or it was announced to leave; it could come back and carry out what was on its way.
The token is raised then: the worker sees it with the first call to it, and refuses what is older.
- A late order that reaches the next incarnation of a worker unseen has a lease by the clock of the previous one, which may be cut to the longest lease only.

Names: lease_until says by when a lease has ended; the drift is one constant.

--- a/packages/briarford/src/briarford/requests/attachments.py
+++ b/packages/briarford/src/briarford/requests/attachments.py
@@ -26,6 +26,7 @@
 from briarford.runs import AgentAddress, Attach, EntryMessage, StopRun
 from briarford.runs.leases import LEASE_S
 from briarford.runs.state import SESSION_TTL_S
+from briarford.runs.worker_clock import CLOCK_DRIFT_FACTOR
 
 __all__ = [
     "BASE_CONNECTIONS",
@@ -42,7 +43,7 @@
 GONE_REDIAL_DELAY_S = 1.0
 # When an agent process has ended, the worker stops the runs that it ordered
 # once the lease has expired, on a clock that may be 2% slow.
-LEASE_EXPIRY_S = LEASE_S * 1.02 + 0.1
+LEASE_EXPIRY_S = LEASE_S * CLOCK_DRIFT_FACTOR + 0.1
 # An agent that no longer receives messages from the entry stops the runs of
 # the session after SESSION_TTL_S; if the agent has ended as well, the lease
 # has to expire.
--- a/packages/briarford/src/briarford/runs/agent.py
+++ b/packages/briarford/src/briarford/runs/agent.py
@@ -35,6 +35,7 @@
     WithdrawRun,
 )
 from briarford.runs.health import FailureGuard, Slowness
+from briarford.runs.leases import LEASE_S
 from briarford.runs.losses import (
     LossState,
     WorkerLoss,
@@ -71,6 +72,7 @@
     RunListing,
     WorkerReport,
 )
+from briarford.runs.worker_clock import CLOCK_DRIFT_FACTOR
 
 __all__ = ["HEARTBEAT_PERIOD_S", "RunAgent"]
 
@@ -270,6 +272,10 @@
         if previous is not None:
             if previous.worker == report.worker:
                 self._effects.append(RaiseToken())
+                # The lease of a late order is by the clock of the previous
+                # incarnation: it may be the longest that a worker grants.
+                longest_s = LEASE_S * CLOCK_DRIFT_FACTOR
+                self._contact.lease_extended(now + longest_s)
             if not previous.draining:
                 runs = self._orders.all()
                 self._report_loss(
@@ -326,7 +332,7 @@
         return self._contact.may_extend_lease(now)
 
     def lease_until(self, now: float) -> float:
-        """Return when the lease that the call made now grants has ended.
+        """Return by when the lease of the call made now has certainly ended.
 
         An entry may have died after its last heartbeat, and this process may
         die before it stops the runs of that entry. The lease therefore ends
@@ -353,7 +359,7 @@
         From this time on the worker may hold the lease, with or without an
         answer.
 
-        :param until: when that lease has ended, in Unix seconds.
+        :param until: by when that lease has ended, in Unix seconds.
         """
         self._contact.lease_extended(until)
 
--- a/packages/briarford/src/briarford/runs/contact.py
+++ b/packages/briarford/src/briarford/runs/contact.py
@@ -14,7 +14,7 @@
 
 __all__ = ["LISTING_WAIT_S", "WorkerContact"]
 
-# Covers the time in which the end of a run is noticed.
+# Covers the rounding of lease ends, and the time in which a worker ends a run.
 LEASE_MARGIN_S = 0.05
 # A worker answers ten requests for its run listing per second. After three
 # missed answers it gets no new runs; after five its lease is not renewed.
@@ -126,7 +126,7 @@
         return now - self.answered_at < STOP_RENEWAL_AFTER_S
 
     def lease_until(self, repeats_at: float, now: float) -> float:
-        """Return when the lease that the call made now grants has ended.
+        """Return by when the lease of the call made now has certainly ended.
 
         By the clock of the agent, however slow that of the worker is.
 
@@ -146,7 +146,7 @@
         From this time on the worker may hold the lease, with or without an
         answer.
 
-        :param until: when that lease has ended, in Unix seconds.
+        :param until: by when that lease has ended, in Unix seconds.
         """
         self._lease_end = max(self._lease_end, until + LEASE_MARGIN_S)
 
--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -12,7 +12,12 @@
 from typing import Any, Protocol
 
 from briarford.runs.capacity import CapacityTracker
-from briarford.runs.effects import AgentEffect, PlaceOrder, WithdrawRun
+from briarford.runs.effects import (
+    AgentEffect,
+    PlaceOrder,
+    RaiseToken,
+    WithdrawRun,
+)
 from briarford.runs.messages import LossCause, RunEnd
 from briarford.runs.state import Run, RunPhase
 from briarford.runs.timeouts import AnswerTimeout
@@ -246,7 +251,7 @@
         self._answer_timeout = AnswerTimeout()
         self.capacity = CapacityTracker(capacity)
         if address != self._address:
-            self.settle()
+            self._exclude_unsettled()
         self._address = address
         for run in self._runs.values():
             self.capacity.allocate(run.need)
@@ -294,9 +299,19 @@
         self.capacity.release(run.need)
         self._on_ended(run, end, ran_s)
 
+    def _exclude_unsettled(self) -> None:
+        """Exclude late orders at a worker that may come back.
+
+        It cannot confirm stops meanwhile, and will see the higher token with
+        the first call to it.
+        """
+        if self._unsettled:
+            self._effects.append(RaiseToken())
+        self.settle()
+
     def finish_all(self, cause: LossCause) -> None:
         """Report all runs of the present worker, which has ended, as lost."""
-        self.settle()
+        self._exclude_unsettled()
         for run in list(self._runs.values()):
             if not run.ended_by:
                 run.loss = cause
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -24,6 +24,7 @@
 from briarford.runs.effects import (
     AgentEvent,
     PlaceOrder,
+    RaiseToken,
     SendToEntry,
     WithdrawRun,
 )
@@ -107,7 +108,7 @@
     agent.worker_refused(NOW + 0.1)
     assert not agent.may_extend_lease(NOW + 0.1)
     assert not agent.accepting(NOW + 0.1)
-    assert ends_reported_at(agent, NOW + 1.01) == []
+    assert ends_reported_at(agent, NOW + 1.06) == []
     assert ends_reported_at(agent, NOW + 1.1) == [RunEnd.LOST]
     agent.listing_received(RunListing(1, (), ()), NOW + 1.4, NOW + 1.4)
     assert agent.accepting(NOW + 1.4)
@@ -250,6 +251,8 @@
     at = NOW + 1.3
     agent.turn(at)
     change(agent)
+    raised = any(isinstance(e, RaiseToken) for e in agent.turn(at))
+    assert raised is (change is not other_token)
     agent.listing_received(RunListing(1, (), ()), at, at)
     assert agent.accepting(at)
 
@@ -720,6 +723,21 @@
     assert ends_reported_at(agent, NOW + 0.01) == ends
 
 
+@pytest.mark.parametrize(("after_s", "ends"), [(1.0, 0), (1.2, 1)])
+def test_a_late_order_at_another_incarnation_has_its_longest_lease(
+    after_s, ends
+):
+    """Guards against a second run beside one that it starts unseen."""
+    agent = make_agent("e")
+    start(agent, "j.0.0.0", 1)
+    report = StandInWorker("w", born_ms=2).report(NOW + 0.1)
+    agent.worker_refused(NOW + 0.05)
+    agent.worker_reported(report, NOW + 0.1)
+    at = NOW + 0.1 + after_s
+    agent.handle(0, EntryHeartbeat(at, 0), at)
+    assert len(ends_reported_at(agent, at)) == ends
+
+
 def test_unknown_runs_are_stopped_once_and_again_only_after_a_while():
     """Guards against a storm of orders at a restarted agent.
 
