Soak: stop agents within milliseconds of a burst of orders

Cause: the soak stops processes, but seldom within the few milliseconds in which an agent has orders of a large burst that it has not sent, and the clocks of all its workers were true.

Change: an action sends two jobs of 40 small tasks and stops some or all agents, or agents and entries, 0 to 16 ms later, for 0.3 to 2.5 s. A second one stops an agent, and the store fails or its worker restarts meanwhile. Runs that go on at the end are checked as well.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -19,6 +19,8 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
+import functools
 import itertools
 import json
 import os
@@ -28,7 +30,7 @@
 import socket
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -59,6 +61,14 @@
 SHORT_PATIENCE_S = 0.6
 HERD_SHARE = 0.6
 MAX_CUT_S = 3.5
+CLOCK_RATES = (1.0, 0.98)  # the slowest clock that a worker may have
+# Processes are stopped within this time of a burst of jobs, so that orders are
+# on their way through them.
+BURST_S = 0.016
+BURST_JOBS = 2
+# After the first, agents have counted the runs of their workers as lost; after
+# the second, entries have counted the runs of those agents, too.
+STOPS_S = (1.24, 2.4)
 
 Action = Callable[["Soak"], Awaitable[None]]
 ACTIONS: list[Action] = []
@@ -68,6 +78,11 @@
     "best_effort": True,
     "steps": [{"count": 2, "cpu": 1000, "mem_mb": 1, "estimated_ms": 300}],
 }
+BURST_JOB = {
+    "spec": "s",
+    "best_effort": True,
+    "steps": [{"count": 40, "cpu": 25, "mem_mb": 1, "estimated_ms": 300}],
+}
 ODD_FIELDS: list[dict[str, Any]] = [
     {"service": "archive"},
     {"address": "127.0.0.1:9"},
@@ -116,8 +131,10 @@
 class SoakWorker(WorkerServer):
     """A worker that may crash, start again and be replaced."""
 
-    def __init__(self, number: int, host: str, control: str) -> None:
-        super().__init__()
+    def __init__(
+        self, number: int, host: str, control: str, clock_rate: float = 1.0
+    ) -> None:
+        super().__init__(clock_rate)
         self.core.name = f"i-{number}"
         self.control = control
         self.host = host
@@ -147,6 +164,20 @@
         if runner is not None:
             await runner.cleanup()
 
+    def runs(self) -> list[Interval]:
+        """Return its runs, also those that go on, by the clock of the soak."""
+        now = self.now()
+        self.core.advance(now)
+        found = [
+            Interval(r.task, r.run, self.core.name, "", r.started_at, now, "")
+            for r in self.core.runs.values()
+        ]
+        rate = self.clock_rate
+        return [
+            dataclasses.replace(r, start=r.start / rate, end=r.end / rate)
+            for r in [*self.core.history, *found]
+        ]
+
     def report(self) -> dict[str, Any]:
         self.core.sequence += 1
         return {
@@ -170,6 +201,7 @@
     :param agents: number of agents, each with a worker.
     :param is_metered: whether memory and descriptors are checked. To read them
         takes time from the workers, which share this process.
+    :param clock_rates: of the clocks of the workers, one of them each.
     """
 
     def __init__(
@@ -179,8 +211,10 @@
         entries: int,
         agents: int,
         is_metered: bool = True,
+        clock_rates: Sequence[float] = CLOCK_RATES,
     ) -> None:
         self._is_metered = is_metered
+        self._clock_rates = clock_rates
         self.rng = random.Random(seed)
         # No outgoing connection takes a port of an address of its own.
         pid = os.getpid()
@@ -236,7 +270,8 @@
             await path.start()
         for number, name in enumerate(self.agents):
             control = self.settings[name]["http"]
-            worker = SoakWorker(number, self.host, control)
+            rate = self.rng.choice(self._clock_rates)
+            worker = SoakWorker(number, self.host, control, rate)
             await worker.boot()
             self.workers.append(worker)
             self._tasks.append(asyncio.create_task(self._report(worker)))
@@ -323,14 +358,20 @@
 
     # -- clients ------------------------------------------------------------
 
-    async def submit(self, entry: str, job: str, patience_s: float) -> int:
+    async def submit(
+        self,
+        entry: str,
+        job: str,
+        patience_s: float,
+        body: dict[str, Any] = JOB,
+    ) -> int:
         """Submit a job; 0 if its connection broke or its client left."""
         url = f"http://{self.paths[entry].address}/p/{job}"
         deadline = f"{patience_s * 1000:.0f}"
         try:
             async with self.http.post(
                 url,
-                json=JOB,
+                json=body,
                 headers={"Host": "h.example", "Deadline-Ms": deadline},
                 timeout=aiohttp.ClientTimeout(total=patience_s),
             ) as resp:
@@ -340,43 +381,50 @@
             return 0
 
     async def send(
-        self, entry: str, job: str, patience_s: float
+        self,
+        entry: str,
+        job: str,
+        patience_s: float,
+        body: dict[str, Any] = JOB,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Send a job on a connection that stays open until it is closed."""
         host, _, port = str(self.settings[entry]["http"]).partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         self._left_open.append(writer)
-        body = json.dumps(JOB)
+        text = json.dumps(body)
         writer.write(
             f"POST /p/{job} HTTP/1.1\r\nHost: h.example\r\n"
             f"Deadline-Ms: {patience_s * 1000:.0f}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            f"Content-Length: {len(text)}\r\n\r\n{text}".encode()
         )
         return reader, writer
 
     async def submit_unnoticed(
-        self, entry: str, job: str, patience_s: float
+        self, entry: str, job: str, patience_s: float, body: dict[str, Any]
     ) -> int:
         """Submit a job; its client leaves, and the entry does not see it."""
         try:
             async with asyncio.timeout(patience_s):
-                reader, _ = await self.send(entry, job, patience_s)
+                reader, _ = await self.send(entry, job, patience_s, body)
                 return int((await reader.readline()).split()[1])
         except (IndexError, TimeoutError, OSError):
             return 0
 
-    async def client(self, patience_s: float = 8.0) -> int:
+    async def client(
+        self, patience_s: float = 8.0, body: dict[str, Any] = JOB
+    ) -> int:
         """Submit a job, and repeat it at another entry while it breaks."""
         job = f"{next(self._jobs):016x}"
+        cpu = body["steps"][0]["cpu"]
         for worker in self.workers:
-            worker.core.needs[job] = (1000, self.rng.uniform(0.1, 1.2))
+            worker.core.needs[job] = (cpu, self.rng.uniform(0.1, 1.2))
         status = 0
         unnoticed = patience_s == SHORT_PATIENCE_S
         unnoticed = unnoticed and self.rng.random() < UNNOTICED_SHARE
         submit = self.submit_unnoticed if unnoticed else self.submit
         for repeat in range(3):
             entry = self.rng.choice(self.entries)
-            status = await submit(entry, job, patience_s)
+            status = await submit(entry, job, patience_s, body)
             if status in REFUSALS and not repeat:
                 self.refused.append(job)
             if status not in (0, 502, 504):
@@ -432,18 +480,23 @@
             await self.stop()
         return self.broken
 
+    def runs(self) -> list[Interval]:
+        """Return the runs on all workers, also those that go on."""
+        return [run for worker in self.workers for run in worker.runs()]
+
+    def overlaps(self) -> list[tuple[Interval, Interval]]:
+        """Return the runs of a task that were there at once, in pairs."""
+        found = sorted(self.runs(), key=lambda r: (r.task, r.start))
+        return [
+            (one, other)
+            for one, other in itertools.pairwise(found)
+            if one.task == other.task and other.start < one.end
+        ]
+
     def _check(self) -> None:
-        runs: dict[str, list[Interval]] = {}
-        for worker in self.workers:
-            worker.core.advance(worker.now())
-            for run in worker.core.history:
-                runs.setdefault(run.task, []).append(run)
-        for task, found in runs.items():
-            found.sort(key=lambda r: r.start)
-            for one, other in itertools.pairwise(found):
-                if other.start < one.end:
-                    self.broken.append(f"TWICE: {task} {one} {other}")
-        started = {task.partition(".")[0] for task in runs}
+        for one, other in self.overlaps():
+            self.broken.append(f"TWICE: {one.task} {one} {other}")
+        started = {run.task.partition(".")[0] for run in self.runs()}
         for job in self.refused:
             if job in started:
                 self.broken.append(f"REFUSED: a run of {job}")
@@ -524,10 +577,54 @@
     soak.paths[name].release()
 
 
+async def stop_after_burst(
+    soak: Soak, names: Sequence[str], seconds: float
+) -> None:
+    """Send a burst of jobs, and stop processes while they place its tasks."""
+    jobs = [
+        asyncio.create_task(soak.client(body=BURST_JOB))
+        for _ in range(BURST_JOBS)
+    ]
+    await asyncio.sleep(soak.rng.uniform(0.0, BURST_S))
+    for name in names:
+        soak.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    for name in names:
+        soak.signal(name, signal.SIGCONT)
+    await asyncio.gather(*jobs)
+
+
+@action
+async def stop_after_a_burst(soak: Soak) -> None:
+    some = soak.rng.sample(soak.agents, soak.rng.randint(1, len(soak.agents)))
+    names = soak.rng.choice((soak.agents, some, [*soak.agents, *soak.entries]))
+    seconds = soak.rng.choice((*STOPS_S, soak.rng.uniform(0.3, 2.5)))
+    await stop_after_burst(soak, names, seconds)
+
+
+@action
+async def suspend_agent(soak: Soak) -> None:
+    """Stop an agent, and have the store fail or its worker restart."""
+    number = soak.rng.randrange(len(soak.agents))
+    worker = soak.workers[number]
+    fault = soak.rng.choice(
+        (fail_store, functools.partial(restart, worker=worker))
+    )
+    seconds = soak.rng.uniform(0.3, 2.5)
+    async with asyncio.TaskGroup() as faults:
+        names = [soak.agents[number]]
+        faults.create_task(stop_after_burst(soak, names, seconds))
+        await asyncio.sleep(soak.rng.uniform(0.0, seconds))
+        faults.create_task(fault(soak))
+
+
 @action
 async def restart_worker(soak: Soak) -> None:
+    await restart(soak, soak.rng.choice(soak.workers))
+
+
+async def restart(soak: Soak, worker: SoakWorker) -> None:
     """Crash a worker; it, or another one in its place, boots soon."""
-    worker = soak.rng.choice(soak.workers)
     if not worker.up:
         return
     await worker.crash()
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -61,29 +61,13 @@
 async def wait_for_run(fleet: Soak, job: str) -> None:
     async with asyncio.timeout(START_S):
         while True:
-            if any(r.task.startswith(job) for r in runs(fleet)):
+            if any(r.task.startswith(job) for r in fleet.runs()):
                 return
             await asyncio.sleep(0.01)
 
 
-def runs(fleet: Soak) -> list[Interval]:
-    """Return the runs on all workers, also those that go on."""
-    found = []
-    for worker in fleet.workers:
-        now = worker.now()
-        worker.core.advance(now)
-        found += worker.core.history
-        found += [
-            Interval(
-                r.task, r.run, worker.core.name, "", r.started_at, now, ""
-            )
-            for r in worker.core.runs.values()
-        ]
-    return found
-
-
 def overlaps(fleet: Soak, job: str) -> list[tuple[Interval, Interval]]:
-    found = [r for r in runs(fleet) if r.task.startswith(job)]
+    found = [r for r in fleet.runs() if r.task.startswith(job)]
     return [
         (one, other)
         for one in found
@@ -150,7 +134,7 @@
     began = started_at(fleet, "entry-0")
     waited = {job for job, at in closed.items() if at < began - SERVED_EARLY_S}
     assert waited
-    assert not [r for r in runs(fleet) if r.task.partition(".")[0] in waited]
+    assert not [r for r in fleet.runs() if r.task.partition(".")[0] in waited]
 
 
 def encode(job: str, deadline_ms: int = 0) -> bytes:
