Simulate pauses between a decision and its performance

The simulated world performed effects in the instant of their turn, so that it could not play an order that was sent after its run had been given up.

A process can be paused at a place: between a message and its turn, between a turn and its orders, between the lease of an order or listing and its connection, and between the last check of an order and its request. An agent may also have to wait at each of them. What a process does first after a pause is a parameter: its tasks, the messages or the turn of a timer. A listing that is sent after its call has timed out extends the lease and gets no answer. So does the worker with an order.

--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 import itertools
 import math
@@ -51,6 +52,8 @@
 TICK_S = 0.02
 LISTING_LATE_S = 0.03
 LISTING_RETRY_S = 0.05
+LISTING_TIMEOUT_S = 0.25  # beyond the wait of the worker
+PAUSE_PLANNED_S = 0.5
 REPORT_PERIOD_S = 1.5
 LIST_PERIOD_S = 0.5
 REQUEST_READ_S = 0.004
@@ -89,6 +92,32 @@
     return JobRequest(job, f"of {job}", (step,), best_effort=True)
 
 
+class Place(enum.Enum):
+    """Where a process may be paused, or have to wait."""
+
+    TURN = "between a message of a peer and its turn"
+    TASK = "between a turn and its effects that are tasks"
+    CALL = "between the grant of an order's lease and the connection"
+    WRITE = "between the last check of an order and its request"
+    LISTING = "between the grant of a listing's lease and its request"
+
+
+class Waiting(enum.Enum):
+    """What waits while a process is paused."""
+
+    READY = "turns and tasks that are due to run"
+    MESSAGES = "messages and answers"
+    TIMERS = "the turn of a timer"
+
+
+WakeOrder = tuple[Waiting, ...]
+WAKE_ORDERS: tuple[WakeOrder, ...] = (
+    (Waiting.READY, Waiting.MESSAGES, Waiting.TIMERS),
+    (Waiting.TIMERS, Waiting.READY, Waiting.MESSAGES),
+    (Waiting.MESSAGES, Waiting.TIMERS, Waiting.READY),
+)
+
+
 @dataclass
 class Node:
     """A process of an entry or an agent.
@@ -96,6 +125,7 @@
     :param core: its :class:`Dispatcher` or :class:`RunAgent`.
     :param up: whether the process runs.
     :param frozen_until: before this time it runs but does nothing.
+    :param planned_pause: where it is frozen next, and for how many seconds.
     :param generation: rises when the process ends, so that actions planned
         for a previous process are dropped.
     :param replaced: whether a later process of the agent has been started.
@@ -106,6 +136,7 @@
     core: Any
     up: bool = True
     frozen_until: float = 0.0
+    planned_pause: tuple[Place, float] | None = None
     generation: int = 0
     replaced: bool = False
     events: list[tuple[float, str, dict[str, Any]]] = field(
@@ -113,6 +144,17 @@
     )
 
 
+@dataclass
+class ListingCall:
+    """A request for a run listing, as it was when its agent decided on it."""
+
+    asked_at: float
+    wait_s: float
+    acked_end: int
+    token: int
+    lease_until: float
+
+
 _Held = tuple[Node, Callable[[], None]]
 
 
@@ -148,6 +190,8 @@
     - ``unanswered_order_delay``: for the name of a task, the seconds after
       which the worker carries out an order to start it, while the agent gets
       no answer; None for an order that arrives and is answered at once;
+    - ``delays``: for a place, the seconds that agents wait there;
+    - ``wake_order``: what a process that was paused goes on with first;
     - ``listing_delay_s``: seconds by which run listings arrive late;
     - ``listing_lost``: whether the answer to a request for a run listing is
       lost;
@@ -179,7 +223,7 @@
         zones: Sequence[str] = ("",),
     ) -> None:
         self.now = 1000.0
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._queue: list[tuple[float, int, int, Callable[[], None]]] = []
         self._serials = itertools.count()
         self._numbers = itertools.count(1)
         self.links: dict[int, Link] = {}
@@ -197,6 +241,8 @@
         self.deadly: dict[str, float] = {}
         self.refused_connections = False
         self.crashes: list[tuple[float, set[str]]] = []
+        self.delays: dict[Place, float] = {}
+        self.wake_order = WAKE_ORDERS[0]
         self.listing_delay_s = 0.0
         self.listing_lost: Callable[[], bool] = lambda: False
         self.resetting: set[str] = set()
@@ -231,10 +277,16 @@
 
     # -- time ---------------------------------------------------------------
 
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        """Schedule an action for a time, at the earliest for now."""
+    def at(
+        self, when: float, action: Callable[[], None], rank: int = 0
+    ) -> None:
+        """Schedule an action for a time, at the earliest for now.
+
+        :param rank: position among the actions of that time.
+        """
         heapq.heappush(
-            self._queue, (max(when, self.now), next(self._serials), action)
+            self._queue,
+            (max(when, self.now), rank, next(self._serials), action),
         )
 
     def after(self, delay: float, action: Callable[[], None]) -> None:
@@ -245,7 +297,7 @@
         """Advance the time, and run the actions that fall due."""
         end = self.now + seconds
         while self._queue and self._queue[0][0] <= end:
-            self.now, _, action = heapq.heappop(self._queue)
+            self.now, _, _, action = heapq.heappop(self._queue)
             action()
         self.now = end
 
@@ -403,6 +455,16 @@
         """Let a process do nothing for some time, as on a paused VM."""
         node.frozen_until = self.now + seconds
 
+    def pause_at(self, node: Node, place: Place, seconds: float) -> None:
+        """Freeze a process when it next comes to a place, if it does soon."""
+        plan = node.planned_pause = (place, seconds)
+
+        def drop() -> None:
+            if node.planned_pause is plan:
+                node.planned_pause = None
+
+        self.after(PAUSE_PLANNED_S, drop)
+
     def cut(self, one: str, other: str) -> None:
         """Hold all messages between two processes, until :meth:`heal`."""
         self.cuts |= {(one, other), (other, one)}
@@ -459,14 +521,51 @@
             if not self._is_alive(node, generation):
                 return
             if self.now < node.frozen_until:
-                self.at(node.frozen_until, act)
+                self._at_wake(node, Waiting.MESSAGES, act)
                 return
             action()
-            if not if_needed or node.core.needs_turn(self.now):
+            if not if_needed:
                 self._turn(node)
+            elif node.core.needs_turn(self.now):
+                self._go_on(node, Place.TURN, lambda: self._turn(node))
 
         act()
 
+    def _at_wake(
+        self, node: Node, kind: Waiting, action: Callable[[], None]
+    ) -> None:
+        """Schedule what a frozen process does when it goes on."""
+        self.at(node.frozen_until, action, self.wake_order.index(kind))
+
+    def _go_on(
+        self, node: Node, place: Place, action: Callable[[], None]
+    ) -> None:
+        """Run an action of a process after the wait or the pause before it."""
+        generation = node.generation
+        plan = node.planned_pause
+        if plan is not None and plan[0] is place:
+            node.planned_pause = None
+            self.freeze(node, plan[1])
+            self._at_wake(
+                node,
+                Waiting.TIMERS,
+                lambda: self._is_alive(node, generation) and self._turn(node),
+            )
+
+        def act() -> None:
+            if not self._is_alive(node, generation):
+                return
+            if self.now < node.frozen_until:
+                self._at_wake(node, Waiting.READY, act)
+                return
+            action()
+
+        delay_s = self.delays.get(place, 0.0)
+        if delay_s:
+            self.after(delay_s, act)
+        else:
+            act()
+
     def _tick(self, node: Node, generation: int) -> None:
         """Give a process a turn periodically, unless it is frozen."""
         if not self._is_alive(node, generation):
@@ -476,9 +575,19 @@
         self.after(TICK_S, lambda: self._tick(node, generation))
 
     def _turn(self, node: Node) -> None:
-        """Let a core decide, and perform its effects."""
+        """Let a core decide, and perform its effects.
+
+        Some of them are tasks of their own, which run later than the turn.
+        """
         for effect in node.core.turn(self.now):
-            self._perform(node, effect)
+            if isinstance(effect, PlaceOrder | WithdrawRun | RaiseToken):
+                self._go_on(
+                    node,
+                    Place.TASK,
+                    lambda e=effect: self._perform(node, e),
+                )
+            else:
+                self._perform(node, effect)
 
     def _perform(self, node: Node, effect: Any) -> None:
         match effect:
@@ -688,8 +797,29 @@
         asked_at = self.now
         lease_until = core.lease_until(self.now)
         core.lease_extended(lease_until)
-        lease_end = lease_until or None
         wait_s = core.listing_wait_s(self.now)
+        call = ListingCall(
+            asked_at, wait_s, core.acked_end, core.token, lease_until
+        )
+        self._go_on(
+            node,
+            Place.LISTING,
+            lambda: self._request_listing(node, generation, worker, call),
+        )
+
+    def _request_listing(
+        self,
+        node: Node,
+        generation: int,
+        worker: StandInWorker,
+        call: ListingCall,
+    ) -> None:
+        """Send a request for a run listing, and pass on its answer."""
+        core, asked_at, wait_s = node.core, call.asked_at, call.wait_s
+        lease_end = self._lease_end(call.lease_until, asked_at) or None
+        if not worker.up:
+            self.after(LISTING_RETRY_S, lambda: self._watch(node, generation))
+            return
         if node.name in self.resetting:
 
             def lost() -> None:
@@ -708,8 +838,11 @@
                 worker.extend(lease_end, self.now)
             self.after(wait_s + LISTING_LATE_S, ask_again)
             return
-        first = worker.listing(core.acked_end, core.token, lease_end, self.now)
-        seen = core.acked_end
+        seen = call.acked_end
+        first = worker.listing(seen, call.token, lease_end, self.now)
+        if self.now > asked_at + wait_s + LISTING_TIMEOUT_S:
+            self.after(LISTING_RETRY_S, lambda: self._watch(node, generation))
+            return
 
         def answer(listing: Any) -> None:
             if self.listing_delay_s:
@@ -749,16 +882,21 @@
 
         poll()
 
+    def _lease_end(self, until: float, granted_at: float) -> float:
+        """Return the end of a lease that is written to a request now."""
+        return until
+
     def _place(self, node: Node, order: PlaceOrder) -> None:
         """Carry out an agent's order to start a run at its worker."""
         if order.payload != f"of {order.task.partition('.')[0]}":
             self.foreign_payloads.append(order.task)
         worker, core = self._called_worker(node), node.core
-        lease_end, token = core.lease_until(self.now), core.token
-        core.lease_extended(lease_end)
+        granted_at = self.now
+        lease_until, token = core.lease_until(granted_at), core.token
+        core.lease_extended(lease_until)
         late_by = self.unanswered_order_delay(order.task)
 
-        def execute() -> OrderResult:
+        def execute(lease_end: float) -> OrderResult:
             if not worker.up:
                 return OrderResult.UNANSWERED
             if self.leases_count_from_arrival:
@@ -781,24 +919,40 @@
                 if_needed=True,
             )
 
-        if not core.is_due(order, self.now):
-            answered(OrderResult.EXPIRED)
-            return
-        is_refused = self.refused_connections and not worker.up
-        if worker is None or is_refused or not lease_end:
-            self.after(WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT))
-            return
-        if node.name in self.resetting:
-            self.after(
-                WORKER_DELAY_S, lambda: answered(OrderResult.UNANSWERED)
-            )
-            return
-        if late_by is not None or not worker.up:
-            if late_by is not None:
-                self.after(late_by, lambda: execute() and None)
+        def send() -> None:
+            if not core.is_due(order, self.now):
+                answered(OrderResult.EXPIRED)
+                return
+            is_refused = self.refused_connections and not worker.up
+            if is_refused or not lease_until:
+                self.after(
+                    WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT)
+                )
+                return
+            self._go_on(node, Place.WRITE, write)
+
+        def write() -> None:
+            lease_end = self._lease_end(lease_until, granted_at)
+            if node.name in self.resetting:
+                self.after(
+                    WORKER_DELAY_S, lambda: answered(OrderResult.UNANSWERED)
+                )
+                return
+            if late_by is None and worker.up and self.now <= order.answer_by:
+                self.after(
+                    WORKER_DELAY_S, lambda: answered(execute(lease_end))
+                )
+                return
+            if late_by is not None or worker.up:
+                self.after(
+                    late_by or WORKER_DELAY_S, lambda: execute(lease_end)
+                )
             self.at(order.answer_by, lambda: answered(OrderResult.UNANSWERED))
+
+        if worker is None:
+            self.after(WORKER_DELAY_S, lambda: answered(OrderResult.NOT_SENT))
             return
-        self.after(WORKER_DELAY_S, lambda: answered(execute()))
+        self._go_on(node, Place.CALL, send)
 
     def _crash(self, worker: StandInWorker) -> None:
         """Crash a worker; it boots again under its id."""
