Simulate no retries of a paused agent, and no runs that revive

In the simulated world a frozen agent went on to repeat its withdrawals and its listings at once. A worker that got a lease when the previous one was over, and had not been asked meanwhile, went on with the runs that had lapsed: a pause of 1.24 s and lost listings then broke TWICE, without a fault of the cores. It ends what is due before it extends a lease.

--- a/packages/briarford/tests/fleet/worker.py
+++ b/packages/briarford/tests/fleet/worker.py
@@ -269,4 +269,5 @@
 
     def extend(self, lease_end: float, now: float) -> None:
         """Extend the lease of all runs, which never shortens it."""
+        self.advance(now)
         self.lease_end = max(self.lease_end, min(lease_end, now + 1.0))
--- a/packages/briarford/tests/fleet/world.py
+++ b/packages/briarford/tests/fleet/world.py
@@ -729,6 +729,13 @@
 
     def _list_once(self, node: Node, generation: int) -> None:
         """Have an agent request the run listing without a wait."""
+        if self.now < node.frozen_until:
+            self._at_wake(
+                node,
+                Waiting.READY,
+                lambda: self._list_once(node, generation),
+            )
+            return
         worker, core = self._called_worker(node), node.core
         alive = self._is_alive(node, generation)
         if not alive or worker is None or not worker.up:
@@ -967,6 +974,13 @@
         self, node: Node, order: WithdrawRun, generation: int
     ) -> None:
         """Carry out an agent's order to stop a run, once the worker is up."""
+        if self.now < node.frozen_until:
+            self._at_wake(
+                node,
+                Waiting.READY,
+                lambda: self._withdraw(node, order, generation),
+            )
+            return
         worker, core = self._called_worker(node), node.core
         is_lost = self.stops_lost or node.name in self.resetting
         if worker is None or not worker.up or is_lost:
