Explore agents that act later than they decide

An agent is paused at each place of the simulated world for 0.6, 1.24 and 2.4 s, its tasks start late, or its connections open late, each with new orders. Pairs with one of these are played with each order of what comes first after a pause. Series do not draw them, so that each seed plays what it always has.

all_workers_fail ends what is due first: runs whose lease had lapsed counted as failed before, which broke BUDGET with a pause of a listing by 1.24 s.

--- a/packages/briarford/tests/fleet/explore.py
+++ b/packages/briarford/tests/fleet/explore.py
@@ -37,7 +37,14 @@
 from briarford.runs.leases import GAP_PERIOD_S
 from fleet.leaving import give_notice
 from fleet.worker import Interval, StandInWorker
-from fleet.world import ROUTE, World, request
+from fleet.world import (
+    ROUTE,
+    WAKE_ORDERS,
+    Place,
+    WakeOrder,
+    World,
+    request,
+)
 
 MOMENTS_S = (0.0005, 0.002, 0.05, 0.2, 0.39, 0.7, 1.1)
 # Seconds before the jobs: agents have just started and grant long leases, or
@@ -54,10 +61,14 @@
 SERIES_S = 2.0  # within it the faults of a series happen
 RESET_SHARE = 0.5  # of the series have a client that is reset
 
+PAUSES_S = (0.6, 1.24, 2.4)
+WAIT_S = 0.025  # longer than the period of the timer
+
 Fault = Callable[["Case"], None]
 FAULTS: dict[str, Fault] = {}
 # Not drawn for series, so that each seed plays what it always has.
 PAIRED_FAULTS = frozenset({"stray_report", "stray_worker_answers"})
+DELAYED_FAULTS: set[str] = set()  # neither; agents act later than they decide
 
 
 def fault(play: Fault) -> Fault:
@@ -309,6 +320,7 @@
 def all_workers_fail(case: Case) -> None:
     workers = list(case.world.workers.values())
     for worker in workers:
+        worker.advance(case.world.now)
         worker.fault = "fail"
 
     def heal() -> None:
@@ -417,14 +429,63 @@
         world.after(0.4 * n, lambda: world.report_stray(agent, stray))
 
 
-def play(*steps: tuple[str, float], settled_s: float = FRESH_S) -> list[str]:
+def delayed_fault(play: Fault) -> Fault:
+    """Register a fault that lets an agent act later than it decides."""
+    DELAYED_FAULTS.add(play.__name__)
+    return fault(play)
+
+
+def _register_pauses() -> None:
+    """Register a fault for each place of a pause and each length."""
+    for place, seconds in itertools.product(Place, PAUSES_S):
+
+        def pause(
+            case: Case, place: Place = place, seconds: float = seconds
+        ) -> None:
+            case.world.pause_at(case.agent, place, seconds)
+            more_requests_come(case)
+
+        pause.__name__ = f"agent_pauses_at_{place.name.lower()}_{seconds}"
+        delayed_fault(pause)
+
+
+_register_pauses()
+
+
+def _delay(case: Case, *places: Place) -> None:
+    """Let agents wait at some places for a while, also with new orders."""
+    for place in places:
+        case.world.delays[place] = WAIT_S
+        case.world.after(1.5, lambda p=place: case.world.delays.pop(p, None))
+    more_requests_come(case)
+
+
+@delayed_fault
+def tasks_start_late(case: Case) -> None:
+    """Let turns and messages come before the effects of earlier turns."""
+    _delay(case, Place.TASK)
+
+
+@delayed_fault
+def connections_open_late(case: Case) -> None:
+    """Let orders and listings wait for a connection."""
+    _delay(case, Place.CALL, Place.LISTING)
+
+
+def play(
+    *steps: tuple[str, float],
+    settled_s: float = FRESH_S,
+    wake_order: WakeOrder = WAKE_ORDERS[0],
+) -> list[str]:
     """Simulate faults, and return the rules that were broken.
 
     :param steps: names of faults, each with the seconds after the submission
         of the jobs at which it happens.
     :param settled_s: seconds before the jobs.
+    :param wake_order: what processes that were paused go on with first.
     """
     case = Case(settled_s)
+    case.world.wake_order = wake_order
     began = case.world.now
     case.submit_jobs()
     for name, moment in steps:
@@ -511,7 +572,7 @@
     :return: the rules that were broken.
     """
     rng = random.Random(seed)
-    drawn = [n for n in FAULTS if n not in PAIRED_FAULTS]
+    drawn = [n for n in FAULTS if n not in PAIRED_FAULTS | DELAYED_FAULTS]
     names = rng.choices(drawn, k=rng.randint(3, 5))
     if rng.random() < RESET_SHARE:
         names.append("client_is_reset")
@@ -521,8 +582,15 @@
     return play(*steps, settled_s=rng.choice((FRESH_S, SETTLED_S)))
 
 
-def _play_pair(pair: tuple[tuple[str, float], ...]) -> list[str]:
-    return play(*pair) + play(*pair, settled_s=SETTLED_S)
+def play_pair(pair: Sequence[tuple[str, float]]) -> list[str]:
+    """Simulate a pair of faults in each of the conditions that matter."""
+    has_delay = any(name in DELAYED_FAULTS for name, _ in pair)
+    orders = WAKE_ORDERS if has_delay else WAKE_ORDERS[:1]
+    return [
+        found
+        for settled_s, order in itertools.product((FRESH_S, SETTLED_S), orders)
+        for found in play(*pair, settled_s=settled_s, wake_order=order)
+    ]
 
 
 def main() -> None:
@@ -533,7 +601,7 @@
     unknown = [n for n in names if n not in FAULTS]
     if unknown:
         sys.exit(f"no fault is named {', '.join(unknown)}")
-    _play_all("pairs", _play_pair, pairs(names))
+    _play_all("pairs", play_pair, pairs(names))
 
 
 def _play_all(
