Test: agents that act late break no rule, and would without the mend

Each fault of late agents is played alone, and 20 pairs with one of them in all conditions. Two planted bugs undo the halves of the mend: orders that stay due, and leases that count from their sending. Each breaks TWICE: a pause between turn and task, before a request is written, and with a slow agent before a listing is sent.

--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -21,6 +21,7 @@
 from briarford.runs.orders import RunOrders
 from fleet import explore
 from fleet.explore import (
+    DELAYED_FAULTS,
     FAULTS,
     FRESH_S,
     MOMENTS_S,
@@ -29,12 +30,14 @@
     SETTLED_S,
     pairs,
     play,
+    play_pair,
     play_series,
 )
 from fleet.world import World
 
 SAMPLE = 60
 STRAY_SAMPLE = 40
+DELAYED_SAMPLE = 20
 SERIES = 60
 SEED = 20261204
 
@@ -53,8 +56,9 @@
 
 def sample_of_pairs():
     """Return pairs of the faults that series draw, and of the others."""
-    stray = pairs(PAIRED_FAULTS)
-    excluded = set(stray)
+    delayed = set(pairs(DELAYED_FAULTS))
+    stray = [p for p in pairs(PAIRED_FAULTS) if p not in delayed]
+    excluded = delayed | set(stray)
     others = [p for p in pairs() if p not in excluded]
     return [
         *random.Random(SEED).sample(others, SAMPLE),
@@ -69,6 +73,16 @@
     assert play(*pair, settled_s=settled_s) == []
 
 
+@pytest.mark.parametrize(
+    "pair",
+    random.Random(SEED).sample(pairs(DELAYED_FAULTS), DELAYED_SAMPLE),
+    ids=str,
+)
+def test_an_agent_that_acts_late_breaks_no_rule(pair):
+    """Guards against effects that are performed after their time is over."""
+    assert play_pair(pair) == []
+
+
 @pytest.mark.parametrize("seed", range(SERIES))
 def test_a_series_of_faults_breaks_no_rule(seed):
     """Guards against a rule that overlapping faults break, also repeated."""
@@ -168,6 +182,20 @@
     monkeypatch.setattr(attachments, "LEASE_EXPIRY_S", 1e9)
 
 
+def plant_orders_that_stay_due(monkeypatch):
+    """Plant: an agent sends the orders of runs that it has given up."""
+    monkeypatch.setattr(run_agent.RunAgent, "is_due", lambda *args: True)
+
+
+def plant_leases_from_their_sending(monkeypatch):
+    """Plant: a lease has its length from when it is sent."""
+    monkeypatch.setattr(
+        World,
+        "_lease_end",
+        lambda self, until, granted_at: until + self.now - granted_at,
+    )
+
+
 def plant_unread_evacuations(monkeypatch):
     """Plant: no process adopts a request to evacuate a zone."""
     monkeypatch.setattr(Evacuations, "_adopt", lambda *args: None)
@@ -243,6 +271,36 @@
     assert any(found.startswith(rule) for found in play(*steps))
 
 
+@pytest.mark.parametrize(
+    ("plant", "steps"),
+    [
+        (plant_orders_that_stay_due, [("agent_pauses_at_task_0.6", 0.0005)]),
+        (
+            plant_leases_from_their_sending,
+            [("agent_pauses_at_write_1.24", 0.2)],
+        ),
+        (
+            plant_leases_from_their_sending,
+            [("agent_pauses_at_write_2.4", 0.2)],
+        ),
+        (
+            plant_leases_from_their_sending,
+            [
+                ("agent_pauses_at_listing_0.6", 0.0005),
+                ("agent_runs_slowly", 0.002),
+            ],
+        ),
+    ],
+)
+def test_each_planted_bug_of_late_agents_runs_a_task_twice(
+    monkeypatch, plant, steps
+):
+    """Guards against a world in which agents act at once."""
+    assert play_pair(steps) == []
+    plant(monkeypatch)
+    assert "TWICE: two runs at once" in play_pair(steps)
+
+
 @pytest.mark.parametrize("seconds", [0.5, 0.8, 1.2, 2.0, 5.0, 10.0])
 @pytest.mark.parametrize("moment", MOMENTS_S)
 @pytest.mark.parametrize("paused", ["entry", "agent", "both"])
