--- a/packages/briarford/tests/fleet/test_explore.py
+++ b/packages/briarford/tests/fleet/test_explore.py
@@ -183,8 +183,14 @@
 
 
 def plant_orders_that_stay_due(monkeypatch):
-    """Plant: an agent sends the orders of runs that it has given up."""
+    """Plant: an agent sends the orders of runs that it has given up.
+
+    It withdraws none of them either; each of the two mends holds alone.
+    """
     monkeypatch.setattr(run_agent.RunAgent, "is_due", lambda *args: True)
+    monkeypatch.setattr(
+        RunOrders, "finish_lapsed", lambda self, cause: self.finish_all(cause)
+    )
 
 
 def plant_leases_from_their_sending(monkeypatch):
