Stop a few runs of a worker at a time

Two agents had each some 80 orders to withdraw from workers that were just back, all at once over eight connections, each with 0.12 s; nearly all timed out, 2,700 and 3,100 times, listings among them.

Four stops at a time leave connections for listings and orders; a stop of a run that has ended meanwhile is not sent.

Evidence: test_withdrawals_leave_room_for_listings (80 at once before).

--- a/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
+++ b/packages/briarford-daemon/src/briarford_daemon/fleet/agent.py
@@ -68,6 +68,9 @@
 END_BATCH_S = 0.004
 # Between orders to stop a run, unless one takes longer.
 WITHDRAW_PERIOD_S = 0.1
+# Orders to stop a run at the same time. All of a worker's runs may have to be
+# stopped at once; listings and other orders need connections meanwhile.
+MAX_STOPS = 4
 DRAIN_POLL_PERIOD_S = 0.05
 MS_PER_S = 1000
 # Part of ``stop_within_s`` that is kept for closing the connections.
@@ -169,6 +172,7 @@
         self._poll_limit: asyncio.Timeout | None = None
         self._listed_at = 0.0
         self._verifying = False
+        self._stop_slots = asyncio.Semaphore(MAX_STOPS)
         self._links = AgentLinks(
             self._on_attach, self._on_messages, self._on_link_closed, intake
         )
@@ -426,20 +430,26 @@
         then. Gives up if there is no worker any more, if the run has
         certainly ended, or if another process of this agent has taken over.
         """
-        while (worker := self.core.worker) is not None:
-            if not self.core.has_token:
-                return
-            now = self._clock.now()
-            retry_at = now + WITHDRAW_PERIOD_S
-            answers = self.core.may_extend_lease(now)
-            if answers and await self._confirm_stop(worker, order):
+        while True:
+            async with self._stop_slots:
+                worker, now = self.core.worker, self._clock.now()
+                if worker is None or not self.core.has_token:
+                    return
+                if order.key and not self.core.needs_withdrawal(order.key):
+                    return
+                retry_at = now + WITHDRAW_PERIOD_S
+                answers = self.core.may_extend_lease(now)
+                is_confirmed = answers and await self._confirm_stop(
+                    worker, order
+                )
+            if is_confirmed:
                 self.core.stop_answered(order.key, self._clock.now())
                 self._wake()
                 # Only the run listing shows whether the run had started.
                 if not order.key or self.core.needs_withdrawal(order.key):
                     await self._list_runs(0.0)
                 return
-            if not self.core.needs_withdrawal(order.key):
+            if not order.key:
                 return
             await asyncio.sleep(max(0.0, retry_at - self._clock.now()))
 
--- a/packages/briarford-daemon/tests/test_agent_process.py
+++ b/packages/briarford-daemon/tests/test_agent_process.py
@@ -18,7 +18,8 @@
     StopRun,
     WorkerReport,
 )
-from briarford_daemon.fleet.agent import FleetAgent
+from briarford.runs.effects import WithdrawRun
+from briarford_daemon.fleet.agent import MAX_STOPS, FleetAgent
 from briarford_daemon.fleet.metrics import FleetMetrics
 from briarford_daemon.fleet.registry import AgentRecord
 from briarford_daemon.fleet.settings import FleetSettings
@@ -244,3 +245,28 @@
         connected.set()
         await until(lambda: checks)
     assert checks == [not is_stopped]
+
+
+async def test_withdrawals_leave_room_for_listings():
+    """Guards against a storm of stops at a worker that is just back.
+
+    Each of them would wait for a connection for longer than its time.
+    """
+    worker = FakeWorker()
+    stopping = most = 0
+
+    async def stop_run(called, order, token):
+        nonlocal stopping, most
+        stopping += 1
+        most = max(most, stopping)
+        await asyncio.sleep(0.002)
+        stopping -= 1
+        worker.calls.append("stop")
+        return True
+
+    worker.stop_run = stop_run
+    async with running(worker) as agent:
+        for n in range(80):
+            agent._perform(WithdrawRun(0, f"j.0.0.{n}", 1))
+        await until(lambda: worker.calls.count("stop") == 80)
+    assert most == MAX_STOPS
