Soak: runs that go on once they were given up; stops during the work on a burst

OUTLIVED: a run goes on at its worker after its agent or its entry has logged it as ended or not done; it shows what TWICE shows only if the task is elsewhere by then.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -7,6 +7,7 @@
 end. What the clients and the workers see is checked:
 
 - TWICE: no two runs of a task overlap;
+- OUTLIVED: no run goes on after an agent or an entry has given it up;
 - REFUSED: a job whose only answer was a refusal has had no run;
 - SERVED: once the faults have ended, jobs are served again, also beside odd
   records that stay;
@@ -30,6 +31,7 @@
 import socket
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -49,6 +51,8 @@
 CALM_S = 6.0
 LAST_JOBS = 6
 LAST_TRIES = 4  # one a second, as the refusals ask for
+# Between two clocks that are read one after the other.
+CLOCK_ERROR_S = 0.005
 # Of the machine of each process; descriptors include 200 for files.
 MEMORY_MB = 64
 MAX_OPEN_FILES = 400
@@ -62,9 +66,10 @@
 HERD_SHARE = 0.6
 MAX_CUT_S = 3.5
 CLOCK_RATES = (1.0, 0.98)  # the slowest clock that a worker may have
-# Processes are stopped within this time of a burst of jobs, so that orders are
-# on their way through them.
-BURST_S = 0.016
+# Processes are stopped during their work on a burst of jobs, so that orders
+# are on their way through them: after this much processor time at most.
+BURST_WORK_S = 0.003
+BURST_WAIT_S = 0.2
 BURST_JOBS = 2
 # After the first, agents have counted the runs of their workers as lost; after
 # the second, entries have counted the runs of those agents, too.
@@ -233,6 +238,7 @@
         self.refused: list[str] = []
         self.statuses: dict[int, int] = {}
         self._ended_by_us: set[int] = set()
+        self._serving: set[int] = set()
         # Size of its log when a process was started, by name.
         self._logged_before: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -332,13 +338,34 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._ended_by_us.add(process.pid)
-        else:
+        elif process.pid not in self._serving:
             with (self.folder / f"{name}.log").open("rb") as log:
                 log.seek(self._logged_before[name])
                 if b'"started"' not in log.read():
                     return  # its handlers may not be set yet
+            self._serving.add(process.pid)
         process.send_signal(number)
 
+    async def stop_at_work(self, names: Sequence[str]) -> None:
+        """Stop processes, each after a random part of the work it does now."""
+        due = {}
+        for name in names:
+            # As clock_getcpuclockid returns it: the processor time.
+            clock = ~self.processes[name].pid << 3 | 2
+            with contextlib.suppress(OSError):
+                work_s = self.rng.uniform(0.0, BURST_WORK_S)
+                due[name] = (clock, time.clock_gettime(clock) + work_s)
+        wait_until = time.monotonic() + BURST_WAIT_S
+        while due:
+            late = time.monotonic() > wait_until
+            for name, (clock, at) in list(due.items()):
+                with contextlib.suppress(OSError):
+                    if not late and time.clock_gettime(clock) < at:
+                        continue
+                self.signal(name, signal.SIGSTOP)
+                del due[name]
+            await asyncio.sleep(0)
+
     async def put_report(
         self, worker: SoakWorker, name: str, body: dict[str, Any]
     ) -> None:
@@ -411,13 +438,16 @@
             return 0
 
     async def client(
-        self, patience_s: float = 8.0, body: dict[str, Any] = JOB
+        self,
+        patience_s: float = 8.0,
+        body: dict[str, Any] = JOB,
+        longest_s: float = 1.2,
     ) -> int:
         """Submit a job, and repeat it at another entry while it breaks."""
         job = f"{next(self._jobs):016x}"
         cpu = body["steps"][0]["cpu"]
         for worker in self.workers:
-            worker.core.needs[job] = (cpu, self.rng.uniform(0.1, 1.2))
+            worker.core.needs[job] = (cpu, self.rng.uniform(0.1, longest_s))
         status = 0
         unnoticed = patience_s == SHORT_PATIENCE_S
         unnoticed = unnoticed and self.rng.random() < UNNOTICED_SHARE
@@ -493,7 +523,33 @@
             if one.task == other.task and other.start < one.end
         ]
 
+    def outlived(self) -> list[tuple[Interval, float]]:
+        """Return runs that went on once they were given up, and how long."""
+        given_up: dict[tuple[str, int], float] = {}
+        placed: dict[tuple[str, str], int] = {}  # the last run, by agent
+        since = time.time() - time.monotonic()
+        for log in self.folder.glob("*.log"):
+            for text in log.open():
+                if '"placed"' in text:
+                    line = json.loads(text)
+                    placed[line["task"], line["agent"]] = line["run"]
+                elif '"run-not-done"' in text or '"run-ended"' in text:
+                    line = json.loads(text)
+                    task, at = line["task"], line["time"] - since
+                    agent = line.get("agent", "")
+                    run = line.get("run", placed.get((task, agent), 0))
+                    at = min(at, given_up.get((task, run), at))
+                    given_up[task, run] = at
+        return [
+            (run, run.end - given_up[run.task, run.run])
+            for run in self.runs()
+            if run.end
+            > given_up.get((run.task, run.run), run.end) + CLOCK_ERROR_S
+        ]
+
     def _check(self) -> None:
+        for run, seconds in self.outlived():
+            self.broken.append(f"OUTLIVED: by {seconds:.3f} s {run}")
         for one, other in self.overlaps():
             self.broken.append(f"TWICE: {one.task} {one} {other}")
         started = {run.task.partition(".")[0] for run in self.runs()}
@@ -578,20 +634,20 @@
 
 
 async def stop_after_burst(
-    soak: Soak, names: Sequence[str], seconds: float
+    soak: Soak,
+    names: Sequence[str],
+    seconds: float,
+    jobs: int = BURST_JOBS,
+    **job: Any,
 ) -> None:
     """Send a burst of jobs, and stop processes while they place its tasks."""
-    jobs = [
-        asyncio.create_task(soak.client(body=BURST_JOB))
-        for _ in range(BURST_JOBS)
-    ]
-    await asyncio.sleep(soak.rng.uniform(0.0, BURST_S))
-    for name in names:
-        soak.signal(name, signal.SIGSTOP)
-    await asyncio.sleep(seconds)
-    for name in names:
-        soak.signal(name, signal.SIGCONT)
-    await asyncio.gather(*jobs)
+    async with asyncio.TaskGroup() as clients:
+        for _ in range(jobs):
+            clients.create_task(soak.client(**{"body": BURST_JOB, **job}))
+        await soak.stop_at_work(names)
+        await asyncio.sleep(seconds)
+        for name in names:
+            soak.signal(name, signal.SIGCONT)
 
 
 @action
@@ -692,11 +748,15 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--agents", type=int, default=3)
+    # To read them takes long where thousands of sockets are open.
+    parser.add_argument("--unmetered", action="store_true")
     args = parser.parse_args()
     failed = 0
     for seed in range(*args.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = Soak(seed, folder, args.entries, args.agents)
+        soak = Soak(
+            seed, folder, args.entries, args.agents, not args.unmetered
+        )
         broken = asyncio.run(soak.run(args.seconds))
         failed += bool(broken)
         print(seed, soak.statuses, *broken[:5], folder, flush=True)
