Leave a run that has started when a repeated order of it is not sent

Found while reading the change. An order without an answer is repeated; if a listing shows the run before the repeat is written, the repeat is not due any more. Since orders that were not sent are counted as such, that stopped the run, which was sound.

Evidence: test_a_repeated_order_of_a_run_that_has_started_is_dropped, red before.

--- a/packages/briarford/src/briarford/runs/orders.py
+++ b/packages/briarford/src/briarford/runs/orders.py
@@ -191,6 +191,8 @@
     def _expired(self, run: Run, may_repeat: bool, now: float) -> None:
         """Repeat an order that was not sent in time, or end its run."""
         run.unsent += 1
+        if run.phase is RunPhase.RUNNING:
+            return  # a run listing has already shown that it runs
         if run.phase is RunPhase.ORDERED and may_repeat:
             self._answer_timeout.expired()
             if run.orders < MAX_ORDERS:
--- a/packages/briarford/tests/fleet/test_run_agent.py
+++ b/packages/briarford/tests/fleet/test_run_agent.py
@@ -283,6 +283,21 @@
     assert bool(ends_in(effects)) is not withdrawn
 
 
+def test_a_repeated_order_of_a_run_that_has_started_is_dropped():
+    """Guards against a sound run that is stopped for an order not sent."""
+    agent = make_agent("e")
+    agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
+    (key,) = (e.key for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    agent.order_answered(key, OrderResult.UNANSWERED, NOW)
+    (order,) = (e for e in agent.turn(NOW) if isinstance(e, PlaceOrder))
+    list_run(agent)
+    assert not agent.is_due(order, NOW)
+    agent.order_answered(key, OrderResult.EXPIRED, NOW)
+    effects = agent.turn(NOW)
+    assert not any(isinstance(e, WithdrawRun) for e in effects)
+    assert ends_in(effects) == []
+
+
 def test_an_order_of_a_run_that_is_stopped_ends_it_unsent():
     agent = make_agent("e")
     agent.handle(0, StartRun(1, "j.0.0.0", 1, "p", 3000, 1, 0, 0.5), NOW)
