--- a/packages/briarford/src/briarford/capabilities.py
+++ b/packages/briarford/src/briarford/capabilities.py
@@ -13,7 +13,7 @@
 
 __all__ = ["BUILD", "CAPABILITIES", "Capability", "count_builds"]
 
-BUILD = "0.3.0"
+BUILD = "0.4.0"
 
 
 class Capability(enum.StrEnum):
